--- a/src/wire.rs
+++ b/src/wire.rs
@@ -272,6 +272,17 @@
     plain.then(|| u64::from_str_radix(text, 16).ok()).flatten()
 }
 
+/// Reads a settings object, the one that `boot` carries, for an embedding that gets it some other way.
+///
+/// # Errors
+///
+/// The object breaks the form of the wire; the error names the field.
+pub fn settings_from_json(object: &serde_json::Value) -> Result<Settings, WireError> {
+    let wire: WireSettings = serde_path_to_error::deserialize(object)
+        .map_err(|e| WireError(format!("field `{}`: {}", e.path(), e.inner())))?;
+    Ok(settings(&wire))
+}
+
 fn settings(w: &WireSettings) -> Settings {
     let d = &w.domain;
     let class = |(i, c): (usize, &WireClass)| Class {
--- /dev/null
+++ b/violetgate/src/bus.rs
@@ -0,0 +1,200 @@
+//! The event bus: numbered news of the engine list, followed for ever from the last number that is held.
+
+use std::collections::HashMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use linnetreach::interface::{Engine, EngineId, EngineState, ListScope};
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::config::Names;
+use crate::exchange::Listed;
+use crate::log;
+
+/// The bus says its last number each second; silence for longer than this is a break.
+const SILENCE: Duration = Duration::from_millis(2_500);
+const CONNECT: Duration = Duration::from_millis(1_000);
+/// The pause before a reconnect, doubled up to the last at each one that brings nothing.
+const PAUSE: Duration = Duration::from_millis(50);
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+/// A line is one event; the whole list of a large fleet fits well.
+const MAX_LINE: usize = 1024 * 1024;
+
+#[derive(Deserialize)]
+struct Happening {
+    offset: u64,
+    topology: Option<Topology>,
+}
+
+#[derive(Deserialize)]
+struct Topology {
+    #[serde(default)]
+    full: bool,
+    #[serde(default)]
+    servers: Vec<Server>,
+}
+
+#[derive(Deserialize)]
+struct Server {
+    id: String,
+    addr: String,
+    #[serde(default)]
+    zone: String,
+    #[serde(default)]
+    kind: String,
+    #[serde(default)]
+    cell: u32,
+    state: State,
+    #[serde(default)]
+    started_ms: u64,
+}
+
+#[derive(Deserialize, Clone, Copy)]
+#[serde(rename_all = "snake_case")]
+enum State {
+    InService,
+    Terminating,
+    Terminated,
+}
+
+/// What is known of the engine list, and up to which number.
+pub struct Bus {
+    names: Names,
+    last: u64,
+    ids: HashMap<String, EngineId>,
+}
+
+impl Bus {
+    /// Creates a follower that knows nothing yet.
+    #[must_use]
+    pub fn new(names: Names) -> Self {
+        Bus { names, last: 0, ids: HashMap::new() }
+    }
+
+    /// Takes the events of the start, and their last number.
+    pub fn known(&mut self, last: u64, batch: Vec<Value>, tell: &mut dyn FnMut(ListScope, &[Listed])) {
+        for event in batch {
+            if let Err(e) =
+                Happening::deserialize(&event).map_err(|e| e.to_string()).and_then(|h| self.take(h, tell))
+            {
+                log::line(format_args!("bus reason=garbage known event left out: {e}"));
+            }
+        }
+        self.last = last;
+    }
+
+    /// Follows the bus for ever.
+    pub async fn follow(mut self, addr: SocketAddr, tell: &mut dyn FnMut(ListScope, &[Listed])) {
+        let mut pause = PAUSE;
+        loop {
+            let from = self.last;
+            let mut heard = false;
+            let reason = self.session(addr, tell, &mut heard).await;
+            log::line(format_args!("bus {addr} ended reason={reason} from={from} last={}", self.last));
+            pause = if heard { PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+            Timer::after(pause).await;
+        }
+    }
+
+    async fn session(
+        &mut self,
+        addr: SocketAddr,
+        tell: &mut dyn FnMut(ListScope, &[Listed]),
+        heard: &mut bool,
+    ) -> String {
+        let stream = match Async::<TcpStream>::connect(addr).or(late(CONNECT)).await {
+            Ok(stream) => stream,
+            Err(e) => return reason(&e, "connect"),
+        };
+        let hello = format!("from {}\n", self.last);
+        // A few bytes on a fresh connection: the socket takes them at once or not at all.
+        match stream.write_with(|mut s| s.write(hello.as_bytes())).or(late(CONNECT)).await {
+            Ok(n) if n == hello.len() => {}
+            Ok(_) => return "write".to_owned(),
+            Err(e) => return reason(&e, "write"),
+        }
+        let mut buffer = Vec::new();
+        let mut chunk = vec![0u8; 16 * 1024];
+        loop {
+            match stream.read_with(|mut s| s.read(&mut chunk)).or(late(SILENCE)).await {
+                Ok(0) => return "closed".to_owned(),
+                Ok(n) => buffer.extend_from_slice(chunk.get(..n).unwrap_or_default()),
+                Err(e) => return reason(&e, "read"),
+            }
+            let mut used = 0;
+            while let Some(end) = memchr::memchr(b'\n', buffer.get(used..).unwrap_or_default()) {
+                let line = buffer.get(used..used + end).unwrap_or_default();
+                if let Err(e) = self.line(line, tell) {
+                    return e;
+                }
+                *heard = true;
+                used += end + 1;
+            }
+            buffer.drain(..used);
+            if buffer.len() > MAX_LINE {
+                return "garbage: line too long".to_owned();
+            }
+        }
+    }
+
+    /// Takes one line: an event, or the last number alone.
+    fn line(&mut self, line: &[u8], tell: &mut dyn FnMut(ListScope, &[Listed])) -> Result<(), String> {
+        let value: Value = serde_json::from_slice(line).map_err(|e| format!("garbage: {e}"))?;
+        if let Some(last) = value.as_u64() {
+            // Events that never came: ask for them again.
+            return if last > self.last { Err(format!("gap: bus is at {last}")) } else { Ok(()) };
+        }
+        let event = Happening::deserialize(&value).map_err(|e| format!("garbage: {e}"))?;
+        let offset = event.offset;
+        if offset <= self.last {
+            return Ok(());
+        }
+        if offset > self.last + 1 {
+            return Err(format!("gap: event {offset}"));
+        }
+        self.take(event, tell).map_err(|e| format!("garbage: {e}"))?;
+        self.last = offset;
+        Ok(())
+    }
+
+    fn take(&mut self, event: Happening, tell: &mut dyn FnMut(ListScope, &[Listed])) -> Result<(), String> {
+        let Some(topology) = event.topology else { return Ok(()) };
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u32;
+        let mut listed = Vec::new();
+        for s in topology.servers {
+            let addr = s.addr.parse().map_err(|e| format!("addr {:?}: {e}", s.addr))?;
+            let fresh = self.ids.len() as EngineId;
+            let engine = Engine {
+                id: *self.ids.entry(s.id).or_insert(fresh),
+                zone: place(&self.names.zones, &s.zone),
+                kind: place(&self.names.kinds, &s.kind),
+                cell: s.cell,
+                state: match s.state {
+                    State::InService => EngineState::Ready,
+                    State::Terminating => EngineState::Draining,
+                    State::Terminated => EngineState::Gone,
+                },
+                started: (s.started_ms > 0).then(|| s.started_ms.saturating_mul(1000)),
+            };
+            listed.push(Listed { engine, addr });
+        }
+        tell(if topology.full { ListScope::Whole } else { ListScope::Patch }, &listed);
+        Ok(())
+    }
+}
+
+async fn late<T>(after: Duration) -> std::io::Result<T> {
+    Timer::after(after).await;
+    Err(std::io::ErrorKind::TimedOut.into())
+}
+
+fn reason(e: &std::io::Error, what: &str) -> String {
+    match e.kind() {
+        std::io::ErrorKind::TimedOut => format!("{what}_timeout"),
+        _ => format!("{what}_error"),
+    }
+}
--- /dev/null
+++ b/violetgate/src/client/session.rs
@@ -0,0 +1,423 @@
+//! Client connections: the listener, the sessions and their cancel keys.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::future::{pending, poll_fn};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use rand_chacha::rand_core::RngCore;
+use rand_chacha::ChaCha8Rng;
+
+use super::codec::{self, Malformed, Startup};
+use super::fields;
+use crate::config::Names;
+use crate::exchange::{Answer, Exchange, Intake};
+use crate::log;
+
+/// How long a client may take over its start-up packet.
+const STARTUP: Duration = Duration::from_secs(10);
+/// How long a session may stay open with nothing asked; clients close theirs after 4 s.
+const IDLE: Duration = Duration::from_secs(60);
+/// How long a client may take no byte of an answer.
+const STALLED: Duration = Duration::from_secs(10);
+/// Bytes read ahead while a request is open.
+const READ_AHEAD: usize = codec::MAX_MESSAGE;
+/// The pause after the machine gave no connection.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Why a connection ended; the log's reason code.
+type Reason = &'static str;
+
+/// What a CancelRequest reaches of a session.
+struct Key {
+    secret: u32,
+    cancelled: Cell<bool>,
+    waker: RefCell<Option<Waker>>,
+}
+
+/// All client connections.
+pub struct Sessions {
+    executor: Rc<LocalExecutor<'static>>,
+    intake: Rc<dyn Intake>,
+    names: Names,
+    most: usize,
+    rng: RefCell<ChaCha8Rng>,
+    keys: RefCell<HashMap<u32, Rc<Key>>>,
+    open: Cell<usize>,
+    busy: Cell<usize>,
+    /// Wakes the listener when a connection has ended.
+    room: RefCell<Option<Waker>>,
+}
+
+impl Sessions {
+    /// Creates the client side; it holds at most `most` connections.
+    #[must_use]
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        intake: Rc<dyn Intake>,
+        names: Names,
+        most: usize,
+        rng: ChaCha8Rng,
+    ) -> Rc<Self> {
+        Rc::new(Sessions {
+            executor,
+            intake,
+            names,
+            most,
+            rng: RefCell::new(rng),
+            keys: RefCell::default(),
+            open: Cell::new(0),
+            busy: Cell::new(0),
+            room: RefCell::default(),
+        })
+    }
+
+    /// Requests read whole whose answer is not yet written.
+    #[must_use]
+    pub fn busy(&self) -> usize {
+        self.busy.get()
+    }
+
+    /// Takes connections for ever.
+    pub async fn listen(self: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            // At the limit the machine's own queue holds further connections; none is dropped.
+            poll_fn(|cx| {
+                if self.open.get() < self.most {
+                    return Poll::Ready(());
+                }
+                *self.room.borrow_mut() = Some(cx.waker().clone());
+                Poll::Pending
+            })
+            .await;
+            match listener.accept().await {
+                Ok((stream, peer)) => {
+                    self.open.set(self.open.get() + 1);
+                    self.executor.spawn(Rc::clone(&self).drive(stream, peer)).detach();
+                }
+                Err(e) => {
+                    log::line(format_args!("client accept failed: {e}"));
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn drive(self: Rc<Self>, stream: Async<TcpStream>, peer: SocketAddr) {
+        let _ = stream.get_ref().set_nodelay(true);
+        let mut session = Session {
+            sessions: &self,
+            stream,
+            input: Vec::new(),
+            read_at: 0,
+            output: Vec::new(),
+            key: None,
+            requests: 0,
+        };
+        let reason = match session.serve().await {
+            Ok(never) => match never {},
+            Err(reason) => reason,
+        };
+        let (requests, key) = (session.requests, session.key.take());
+        drop(session);
+        if let Some((pid, _)) = key {
+            self.keys.borrow_mut().remove(&pid);
+        }
+        self.open.set(self.open.get() - 1);
+        if let Some(waker) = self.room.borrow_mut().take() {
+            waker.wake();
+        }
+        log::ended("client", peer, reason, requests);
+    }
+
+    fn new_key(&self) -> (u32, Rc<Key>) {
+        let mut rng = self.rng.borrow_mut();
+        let mut keys = self.keys.borrow_mut();
+        loop {
+            let pid = rng.next_u32() >> 1;
+            if pid != 0 && !keys.contains_key(&pid) {
+                let key =
+                    Key { secret: rng.next_u32(), cancelled: Cell::new(false), waker: RefCell::default() };
+                let key = Rc::new(key);
+                keys.insert(pid, Rc::clone(&key));
+                return (pid, key);
+            }
+        }
+    }
+
+    fn cancel(&self, pid: u32, secret: u32) {
+        let keys = self.keys.borrow();
+        if let Some(key) = keys.get(&pid).filter(|k| k.secret == secret) {
+            key.cancelled.set(true);
+            if let Some(waker) = key.waker.borrow_mut().take() {
+                waker.wake();
+            }
+        }
+    }
+}
+
+/// Counts a request as busy until its answer is written, whichever way that ends.
+struct Busy<'a>(&'a Cell<usize>);
+
+impl<'a> Busy<'a> {
+    fn new(count: &'a Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Busy(count)
+    }
+}
+
+impl Drop for Busy<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+struct Session<'a> {
+    sessions: &'a Rc<Sessions>,
+    stream: Async<TcpStream>,
+    input: Vec<u8>,
+    /// When the last bytes were read.
+    read_at: u64,
+    output: Vec<u8>,
+    key: Option<(u32, Rc<Key>)>,
+    requests: u64,
+}
+
+/// What ended the wait for an answer.
+enum Waited {
+    Answer(Answer),
+    Cancelled,
+    Read(std::io::Result<usize>),
+}
+
+impl Session<'_> {
+    async fn serve(&mut self) -> Result<std::convert::Infallible, Reason> {
+        match self
+            .start()
+            .or(async {
+                Timer::after(STARTUP).await;
+                Err("startup_timeout")
+            })
+            .await
+        {
+            Ok(()) => {}
+            Err(reason) => return Err(reason),
+        }
+        let mut skipping = false; // an extended query failed: its messages are skipped up to Sync
+        loop {
+            let (kind, body, size) = match codec::message(&self.input) {
+                Ok(Some(message)) => message,
+                Ok(None) => {
+                    let late = async {
+                        Timer::after(IDLE).await;
+                        Err("idle")
+                    };
+                    self.read().or(late).await?;
+                    continue;
+                }
+                Err(e) => return self.break_off(e).await,
+            };
+            match kind {
+                b'Q' => {
+                    let sql = match codec::query(body) {
+                        Ok(sql) => sql.to_vec(),
+                        Err(e) => return self.break_off(e).await,
+                    };
+                    self.input.drain(..size);
+                    if skipping {
+                        continue;
+                    }
+                    self.query(&sql).await?;
+                    continue;
+                }
+                b'X' => return Err("terminated"),
+                b'S' => {
+                    skipping = false;
+                    codec::ready(&mut self.output);
+                }
+                b'P' | b'B' | b'D' | b'E' | b'C' | b'H' if skipping => {}
+                b'P' | b'B' | b'D' | b'E' | b'C' => {
+                    skipping = true;
+                    self.fail("0A000", "only simple queries are served here");
+                }
+                b'F' => {
+                    self.fail("0A000", "function calls are not served here");
+                    codec::ready(&mut self.output);
+                }
+                b'p' => return self.break_off(Malformed("unexpected password message")).await,
+                // Flush; copy data that nobody asked for is skipped, as PostgreSQL does.
+                _ => {}
+            }
+            self.input.drain(..size);
+            self.write().await?;
+        }
+    }
+
+    async fn start(&mut self) -> Result<(), Reason> {
+        loop {
+            match codec::startup(&self.input) {
+                Ok(None) => {
+                    self.read().await?;
+                    continue;
+                }
+                Ok(Some((Startup::Encryption, size))) => {
+                    self.input.drain(..size);
+                    self.output.push(b'N');
+                    self.write().await?;
+                }
+                Ok(Some((Startup::Cancel(pid, secret), _))) => {
+                    self.sessions.cancel(pid, secret);
+                    return Err("cancel_request");
+                }
+                Ok(Some((Startup::Begin { user: None, .. }, _))) => {
+                    let message = "no PostgreSQL user name specified in startup packet";
+                    codec::error(&mut self.output, "FATAL", "28000", message, None);
+                    self.write().await?;
+                    return Err("no_user");
+                }
+                Ok(Some((Startup::Begin { minor, options, .. }, size))) => {
+                    let (pid, key) = self.sessions.new_key();
+                    codec::welcome(&mut self.output, minor, &options, pid, key.secret);
+                    self.key = Some((pid, key));
+                    self.input.drain(..size);
+                    return self.write().await;
+                }
+                Err(e) => return self.break_off(e).await.map(|never| match never {}),
+            }
+        }
+    }
+
+    /// Answers what breaks the protocol; nothing that follows on such a connection can be trusted.
+    async fn break_off(&mut self, e: Malformed) -> Result<std::convert::Infallible, Reason> {
+        codec::error(&mut self.output, "FATAL", "08P01", e.0, None);
+        self.write().await?;
+        Err("protocol_violation")
+    }
+
+    fn fail(&mut self, code: &str, message: &str) {
+        codec::error(&mut self.output, "ERROR", code, message, None);
+    }
+
+    /// One simple query, up to its ReadyForQuery.
+    async fn query(&mut self, sql: &[u8]) -> Result<(), Reason> {
+        let sessions = Rc::clone(self.sessions);
+        let _busy = Busy::new(&sessions.busy);
+        self.requests += 1;
+        if fields::is_empty(sql) {
+            codec::empty(&mut self.output);
+        } else {
+            match fields::request(sql, &sessions.names, self.read_at) {
+                Err(what) => self.fail("22023", &what),
+                Ok(request) => {
+                    let exchange = Exchange::new(request);
+                    if let Some((_, key)) = &self.key {
+                        key.cancelled.set(false); // a cancel that came between queries meant an earlier one
+                    }
+                    if sessions.intake.submit(&exchange) {
+                        let answer = self.wait(&exchange).await?;
+                        self.answer(answer);
+                    } else {
+                        self.fail("22023", "field `rid` names a request that is still open");
+                    }
+                }
+            }
+        }
+        codec::ready(&mut self.output);
+        self.write().await
+    }
+
+    /// Waits for the answer; `None` if the client cancelled the query.
+    async fn wait(&mut self, exchange: &Exchange) -> Result<Option<Answer>, Reason> {
+        let id = exchange.request.query.id;
+        loop {
+            let key = self.key.as_ref().map(|(_, key)| Rc::clone(key));
+            let cancelled = poll_fn(|cx| match &key {
+                Some(key) if key.cancelled.replace(false) => Poll::Ready(Waited::Cancelled),
+                Some(key) => {
+                    *key.waker.borrow_mut() = Some(cx.waker().clone());
+                    Poll::Pending
+                }
+                None => Poll::Pending,
+            });
+            let answer = async { Waited::Answer(exchange.answer().await) };
+            // The client's leaving shows only where it is read; what it sends ahead is kept.
+            let (room, mut chunk) = (self.input.len() < READ_AHEAD, [0u8; 4096]);
+            let read = async {
+                if !room {
+                    return pending().await;
+                }
+                Waited::Read(self.stream.read_with(|mut s| s.read(&mut chunk)).await)
+            };
+            match answer.or(cancelled).or(read).await {
+                Waited::Answer(answer) => return Ok(Some(answer)),
+                Waited::Cancelled => {
+                    self.sessions.intake.withdraw(id);
+                    return Ok(None);
+                }
+                Waited::Read(Ok(n)) if n > 0 => {
+                    self.input.extend_from_slice(chunk.get(..n).unwrap_or_default());
+                    self.read_at = self.sessions.intake.now();
+                }
+                Waited::Read(end) => {
+                    self.sessions.intake.withdraw(id);
+                    return Err(if end.is_ok() { "left" } else { "reset" });
+                }
+            }
+        }
+    }
+
+    fn answer(&mut self, answer: Option<Answer>) {
+        match answer {
+            Some(Answer::Served(pages)) => codec::rows(&mut self.output, pages.iter().map(AsRef::as_ref)),
+            Some(Answer::Refused { retry_after }) => {
+                let hint = format!("Try again in {} ms.", retry_after.div_ceil(1000));
+                let hint = (retry_after > 0).then_some(hint.as_str());
+                codec::error(&mut self.output, "ERROR", "53000", "too busy to serve this query", hint);
+            }
+            Some(Answer::Closing) => {
+                let hint = Some("Try again on a new connection.");
+                codec::error(&mut self.output, "ERROR", "57P03", "this server is shutting down", hint);
+            }
+            Some(Answer::Failed) => self.fail("58000", "the query failed; it may have had its effect"),
+            None => self.fail("57014", "canceling statement due to user request"),
+        }
+    }
+
+    async fn read(&mut self) -> Result<(), Reason> {
+        let mut chunk = [0u8; 4096];
+        match self.stream.read_with(|mut s| s.read(&mut chunk)).await {
+            Ok(0) => Err("closed"),
+            Ok(n) => {
+                self.input.extend_from_slice(chunk.get(..n).unwrap_or_default());
+                self.read_at = self.sessions.intake.now();
+                Ok(())
+            }
+            Err(_) => Err("reset"),
+        }
+    }
+
+    async fn write(&mut self) -> Result<(), Reason> {
+        let mut sent = 0;
+        while let Some(rest) = self.output.get(sent..).filter(|rest| !rest.is_empty()) {
+            let late = async {
+                Timer::after(STALLED).await;
+                Err(std::io::ErrorKind::TimedOut.into())
+            };
+            match self.stream.write_with(|mut s| s.write(rest)).or(late).await {
+                Ok(n) if n > 0 => sent += n,
+                Err(e) if e.kind() == std::io::ErrorKind::TimedOut => return Err("stalled"),
+                _ => return Err("reset"),
+            }
+        }
+        self.output.clear();
+        self.output.shrink_to(8 * 1024);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/violetgate/src/dispatch.rs
@@ -0,0 +1,296 @@
+//! The dispatcher: owns the decision module, feeds it what happens and carries out what it says, in order.
+//!
+//! It decides nothing. It keeps the books that the module's interface asks for: the number of each
+//! attempt, one end for each, one answer for each request, and one queue of timers.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+use async_io::Timer;
+use futures_lite::Future;
+use linnetreach::interface::{
+    Cost, Effect, Ended, EngineId, ListScope, Load, Micros, NewQuery, Outcome, QueryId,
+};
+use linnetreach::{Action, Event, Gateway, Settings};
+
+use crate::clock::Clock;
+use crate::exchange::{Answer, Attempt, AttemptEnd, Engines, Exchange, Intake, Listed, Reports};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Wake,
+    Overdue(QueryId, u32),
+}
+
+struct Out {
+    number: u32,
+    engine: EngineId,
+    sent: Micros,
+    until: Micros,
+}
+
+/// A request without its answer, or with an attempt still out.
+struct Open {
+    exchange: Rc<Exchange>,
+    effect: Effect,
+    answered: bool,
+    attempts: u32,
+    level: Option<u8>,
+    out: Option<Out>,
+}
+
+/// The dispatcher of one gateway.
+pub struct Dispatch {
+    clock: Clock,
+    gateway: RefCell<Gateway>,
+    effects: Vec<Effect>,
+    engines: Rc<dyn Engines>,
+    open: RefCell<HashMap<QueryId, Open>>,
+    events: RefCell<VecDeque<Event>>,
+    running: Cell<bool>,
+    timers: RefCell<BTreeSet<(Micros, Due)>>,
+    armed: Cell<Micros>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Dispatch {
+    /// Creates a dispatcher over an engine side.
+    #[must_use]
+    pub fn new(clock: Clock, settings: Settings, seed: u64, engines: Rc<dyn Engines>) -> Rc<Self> {
+        Rc::new(Dispatch {
+            clock,
+            effects: settings.classes.iter().map(|c| c.effect).collect(),
+            gateway: RefCell::new(Gateway::new(settings, seed)),
+            engines,
+            open: RefCell::default(),
+            events: RefCell::new(VecDeque::from([Event::Woke])),
+            running: Cell::new(false),
+            timers: RefCell::default(),
+            armed: Cell::new(Micros::MAX),
+            waker: RefCell::default(),
+        })
+    }
+
+    /// Takes news of the engine list.
+    pub fn news(&self, scope: ListScope, listed: &[Listed]) {
+        let engines = listed.iter().map(|l| l.engine).collect();
+        // The module hears of it before the attempts that it ends, and before any further send.
+        self.events.borrow_mut().push_back(Event::Engines { scope, engines });
+        self.engines.list(scope, listed);
+        self.run();
+    }
+
+    /// Gives every request still open its answer, as the process ends: a refusal where the class lets it
+    /// be repeated, else a failure.
+    pub fn close(&self) {
+        let open = self.open.borrow();
+        let rest: Vec<_> = open.iter().filter(|(_, o)| !o.answered).map(|(id, _)| *id).collect();
+        drop(open);
+        for id in rest {
+            if let Some(o) = self.open.borrow().get(&id) {
+                // A repeat of a deduplicated request may have to stay with its engines: it fails instead.
+                let harmless = o.effect == Effect::Idempotent || o.attempts == 0;
+                o.exchange.settle(if harmless { Answer::Closing } else { Answer::Failed });
+            }
+            self.withdraw(id);
+        }
+    }
+
+    /// Fires timers for ever.
+    pub async fn run_timers(&self) {
+        let mut timer = Timer::never();
+        poll_fn(|cx| loop {
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            self.fire();
+            let next = self.timers.borrow().first().map(|t| t.0);
+            self.armed.set(next.unwrap_or(Micros::MAX));
+            let Some(at) = next else { return Poll::<()>::Pending };
+            timer.set_at(self.clock.instant(at));
+            if Pin::new(&mut timer).poll(cx).is_pending() {
+                return Poll::Pending;
+            }
+        })
+        .await;
+    }
+
+    fn fire(&self) {
+        let now = self.clock.now();
+        loop {
+            let first = self.timers.borrow().first().copied().filter(|(at, _)| *at <= now);
+            let Some(first) = first else { break };
+            self.timers.borrow_mut().remove(&first);
+            match first.1 {
+                Due::Wake => self.events.borrow_mut().push_back(Event::Woke),
+                Due::Overdue(id, number) => self.give_up(id, number, Outcome::Overdue),
+            }
+        }
+        self.run();
+    }
+
+    fn schedule(&self, at: Micros, due: Due) {
+        self.timers.borrow_mut().insert((at, due));
+        if at < self.armed.get() {
+            if let Some(waker) = self.waker.borrow_mut().take() {
+                waker.wake();
+            }
+        }
+    }
+
+    /// Feeds what is queued to the module until nothing is left. A call from within (an attempt that ends
+    /// while it is being sent) only queues its event, so that actions are carried out in their order.
+    fn run(&self) {
+        if self.running.replace(true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        loop {
+            let events: Vec<Event> = self.events.borrow_mut().drain(..).collect();
+            if events.is_empty() {
+                break;
+            }
+            self.gateway.borrow_mut().handle(self.clock.now(), &events, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(action);
+            }
+        }
+        self.running.set(false);
+    }
+
+    fn carry_out(&self, action: Action) {
+        match action {
+            Action::Terms { query, priority, .. } => {
+                let mut open = self.open.borrow_mut();
+                let Some(o) = open.get_mut(&query) else { return };
+                let changed = o.level.replace(priority) != Some(priority);
+                let out = o.out.is_some();
+                drop(open);
+                if changed && out {
+                    self.engines.weigh(query, priority);
+                }
+            }
+            Action::Send { query, engine, timeout } => self.send(query, engine, timeout),
+            Action::Cancel { query, attempt } => self.give_up(query, attempt, Outcome::Recalled),
+            Action::Refuse { query, retry_after } => self.settle(query, Answer::Refused { retry_after }),
+            Action::Fail { query } => self.settle(query, Answer::Failed),
+            Action::Wake { at } => self.schedule(at, Due::Wake),
+            // The engine protocol has no load report to ask for, and the event bus is always followed.
+            Action::Probe { .. } | Action::Follow => {}
+        }
+    }
+
+    fn send(&self, id: QueryId, engine: EngineId, timeout: Micros) {
+        let now = self.clock.now();
+        let mut open = self.open.borrow_mut();
+        let Some(o) = open.get_mut(&id) else { return };
+        let number = o.attempts;
+        o.attempts += 1;
+        let deadline = o.exchange.request.deadline();
+        let until = if timeout == 0 { deadline } else { deadline.min(now + timeout) };
+        if o.answered || o.out.is_some() || until <= now {
+            let end = ended(id, number, engine, Outcome::Superseded, o.answered, 0, None);
+            drop(open);
+            self.events.borrow_mut().push_back(end);
+            return;
+        }
+        o.out = Some(Out { number, engine, sent: now, until });
+        let exchange = Rc::clone(&o.exchange);
+        let attempt = Attempt { exchange, number, engine, level: o.level, patience: until - now };
+        drop(open);
+        self.schedule(until, Due::Overdue(id, number));
+        self.engines.send(attempt);
+    }
+
+    /// Takes an attempt back: the engine is told first, then the module.
+    fn give_up(&self, id: QueryId, number: u32, outcome: Outcome) {
+        let is_out =
+            self.open.borrow().get(&id).and_then(|o| o.out.as_ref()).is_some_and(|out| out.number == number);
+        if is_out {
+            let written = self.engines.cancel(id);
+            let outcome = if written { outcome } else { Outcome::Superseded };
+            self.ended(AttemptEnd { query: id, number, outcome, cost: None, pages: Vec::new() });
+        }
+    }
+
+    fn settle(&self, id: QueryId, answer: Answer) {
+        let mut open = self.open.borrow_mut();
+        let Some(o) = open.get_mut(&id) else { return };
+        if !std::mem::replace(&mut o.answered, true) {
+            o.exchange.settle(answer);
+        }
+        if o.out.is_none() {
+            open.remove(&id);
+        }
+    }
+}
+
+fn ended(
+    query: QueryId,
+    attempt: u32,
+    engine: EngineId,
+    outcome: Outcome,
+    settled: bool,
+    elapsed: Micros,
+    cost: Option<Cost>,
+) -> Event {
+    Event::Ended(Ended { query, attempt, engine, outcome, settled, elapsed, cost, load: Load::default() })
+}
+
+impl Intake for Dispatch {
+    fn submit(&self, exchange: &Rc<Exchange>) -> bool {
+        let id = exchange.request.query.id;
+        let mut open = self.open.borrow_mut();
+        if open.contains_key(&id) {
+            return false;
+        }
+        let query = exchange.request.query.clone();
+        let effect = self.effects.get(query.class as usize).copied().unwrap_or_default();
+        let exchange = Rc::clone(exchange);
+        let time_left = exchange.request.deadline().saturating_sub(self.clock.now());
+        open.insert(id, Open { exchange, effect, answered: false, attempts: 0, level: None, out: None });
+        drop(open);
+        self.events.borrow_mut().push_back(Event::Arrived(NewQuery { time_left, ..query }));
+        self.run();
+        true
+    }
+
+    fn withdraw(&self, query: QueryId) {
+        let mut open = self.open.borrow_mut();
+        let Some(o) = open.get_mut(&query).filter(|o| !o.answered) else { return };
+        o.answered = true;
+        if o.out.is_none() {
+            open.remove(&query);
+        }
+        drop(open);
+        self.events.borrow_mut().push_back(Event::ClientGone { query });
+        self.run();
+    }
+
+    fn now(&self) -> Micros {
+        self.clock.now()
+    }
+}
+
+impl Reports for Dispatch {
+    fn ended(&self, end: AttemptEnd) {
+        let mut open = self.open.borrow_mut();
+        let Some(o) = open.get_mut(&end.query) else { return };
+        let Some(out) = o.out.take_if(|out| out.number == end.number) else { return };
+        self.timers.borrow_mut().remove(&(out.until, Due::Overdue(end.query, end.number)));
+        if end.outcome == Outcome::Completed && !std::mem::replace(&mut o.answered, true) {
+            o.exchange.settle(Answer::Served(end.pages));
+        }
+        let settled = o.answered;
+        if settled {
+            open.remove(&end.query);
+        }
+        drop(open);
+        let elapsed = self.clock.now().saturating_sub(out.sent);
+        let event = ended(end.query, end.number, out.engine, end.outcome, settled, elapsed, end.cost);
+        self.events.borrow_mut().push_back(event);
+        self.run();
+    }
+}
--- /dev/null
+++ b/violetgate/src/engine/mod.rs
@@ -0,0 +1,5 @@
+//! The engine side: the line protocol, its connections and the pool of them.
+
+pub mod codec;
+mod conn;
+pub mod pool;
--- /dev/null
+++ b/violetgate/src/exchange.rs
@@ -0,0 +1,167 @@
+//! The exchange: the one place where the client side and the engine side meet.
+//!
+//! A client protocol turns what it read into a [`Request`], opens an [`Exchange`] for it through
+//! [`Intake`] and waits for the [`Answer`]. An engine protocol carries out an [`Attempt`] at an exchange
+//! and tells of its end through [`Reports`]. Neither knows the other; nothing here knows a protocol.
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+use linnetreach::interface::{Cost, Engine, EngineId, ListScope, Micros, NewQuery, Outcome, QueryId};
+use std::net::SocketAddr;
+
+/// One client's request: what the decisions need, and the bytes that pass on as they came.
+#[derive(Debug)]
+pub struct Request {
+    /// What the decisions need; its `time_left` counts from `received`.
+    pub query: NewQuery,
+    /// When its last byte was read.
+    pub received: Micros,
+    /// The id in the client's own spelling.
+    pub rid: Box<str>,
+    /// The class's name.
+    pub class: Box<str>,
+    /// The idempotency key, where the class has one.
+    pub token: Option<Box<str>>,
+    /// The statement, without the comment that held the fields.
+    pub statement: Box<[u8]>,
+}
+
+impl Request {
+    /// When the client gives up.
+    #[must_use]
+    pub fn deadline(&self) -> Micros {
+        self.received.saturating_add(self.query.time_left)
+    }
+}
+
+/// The pages of a whole result, as the engine sent them.
+pub type Pages = Vec<Box<[u8]>>;
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// All rows.
+    Served(Pages),
+    /// Turned away; another try does no harm.
+    Refused {
+        /// How long the client had better stay away.
+        retry_after: Micros,
+    },
+    /// Turned away because this process ends; another try does no harm.
+    Closing,
+    /// Failed; it may have had its effect.
+    Failed,
+}
+
+/// A request on its way to its one answer.
+#[derive(Debug)]
+pub struct Exchange {
+    /// What was asked.
+    pub request: Request,
+    /// The engine connections that earlier attempts used. A later attempt avoids them, so that a late
+    /// answer to a dead attempt can't pass for an answer to a live one with the same id.
+    pub trail: RefCell<Vec<u64>>,
+    state: RefCell<(Option<Answer>, Option<Waker>)>,
+}
+
+impl Exchange {
+    /// Opens an exchange.
+    #[must_use]
+    pub fn new(request: Request) -> Rc<Self> {
+        Rc::new(Exchange { request, trail: RefCell::default(), state: RefCell::default() })
+    }
+
+    /// Gives the answer.
+    pub fn settle(&self, answer: Answer) {
+        let mut state = self.state.borrow_mut();
+        state.0 = Some(answer);
+        if let Some(waker) = state.1.take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits for the answer.
+    pub async fn answer(&self) -> Answer {
+        poll_fn(|cx| {
+            let mut state = self.state.borrow_mut();
+            match state.0.take() {
+                Some(answer) => Poll::Ready(answer),
+                None => {
+                    state.1 = Some(cx.waker().clone());
+                    Poll::Pending
+                }
+            }
+        })
+        .await
+    }
+}
+
+/// What a client protocol may ask of the core.
+pub trait Intake {
+    /// Takes a request in; its answer comes through the exchange. False: that id is already open.
+    fn submit(&self, exchange: &Rc<Exchange>) -> bool;
+    /// The client no longer waits.
+    fn withdraw(&self, query: QueryId);
+    /// The time on the one clock.
+    fn now(&self) -> Micros;
+}
+
+/// One attempt at an engine.
+#[derive(Debug)]
+pub struct Attempt {
+    /// Whose.
+    pub exchange: Rc<Exchange>,
+    /// Which, from 0.
+    pub number: u32,
+    /// Where.
+    pub engine: EngineId,
+    /// At what priority, if one was set.
+    pub level: Option<u8>,
+    /// How long it may take.
+    pub patience: Micros,
+}
+
+/// The end of an attempt that the engine side saw.
+#[derive(Debug)]
+pub struct AttemptEnd {
+    /// Whose.
+    pub query: QueryId,
+    /// Which.
+    pub number: u32,
+    /// How.
+    pub outcome: Outcome,
+    /// What it cost, if told.
+    pub cost: Option<Cost>,
+    /// The result, if `outcome` is `Completed`.
+    pub pages: Pages,
+}
+
+/// Where the engine side tells how attempts ended.
+pub trait Reports {
+    /// An attempt ended by itself.
+    fn ended(&self, end: AttemptEnd);
+}
+
+/// An engine of the list, and where it listens.
+#[derive(Debug, Clone)]
+pub struct Listed {
+    /// What the decisions need.
+    pub engine: Engine,
+    /// Where it listens.
+    pub addr: SocketAddr,
+}
+
+/// What the core may ask of an engine protocol.
+pub trait Engines {
+    /// Starts an attempt. Its end comes through [`Reports`], unless it is cancelled first.
+    fn send(&self, attempt: Attempt);
+    /// Gives an attempt up; nothing more is told of it. False: the engine surely never saw it.
+    fn cancel(&self, query: QueryId) -> bool;
+    /// Sets the priority of an attempt that is out.
+    fn weigh(&self, query: QueryId, level: u8);
+    /// News of the list. Attempts not yet written to an engine that wants no more end as never sent.
+    fn list(&self, scope: ListScope, engines: &[Listed]);
+}
