--- a/violetgate/src/client/fields.rs
+++ b/violetgate/src/client/fields.rs
@@ -11,10 +11,14 @@
 /// A token has at most this many bytes.
 const MAX_TOKEN: usize = 64;
 
-/// Whether a query is empty: white space, comments and semicolons only.
+/// Whether a query is empty: white space, comments and semicolons only. A comment with fields, or without
+/// its end, is a request that can't be used, and its client is owed an error rather than nothing.
 #[must_use]
 pub fn is_empty(sql: &[u8]) -> bool {
-    tables::tokens(sql).all(|t| t == tables::Token::Other(b';'))
+    let has = |text: &[u8], word: &[u8]| memchr::memmem::find(text, word).is_some();
+    let meant = |c: &[u8]| !has(c, b"*/") || has(c, b"method=") || has(c, b"rid=");
+    !sql.trim_ascii_start().strip_prefix(b"/*").is_some_and(meant)
+        && tables::tokens(sql).all(|t| t == tables::Token::Other(b';'))
 }
 
 /// Reads a query's fields and statement.
@@ -28,6 +32,9 @@
     let end = memchr::memmem::find(comment, b"*/").ok_or("the comment with fields has no end")?;
     let (fields, statement) = comment.split_at_checked(end).unwrap_or_default();
     let statement = statement.get(2..).unwrap_or_default().trim_ascii_start();
+    if tables::tokens(statement).all(|t| t == tables::Token::Other(b';')) {
+        return Err("the statement is missing".to_owned());
+    }
     let fields = std::str::from_utf8(fields).map_err(|_| "fields are not text")?.trim();
     let mut found = Found::default();
     for field in fields.split(',').map(str::trim) {
--- a/violetgate/src/engine/conn.rs
+++ b/violetgate/src/engine/conn.rs
@@ -117,6 +117,8 @@
             }
             return false;
         }
+        // A late answer may still come here: a later attempt with the same id takes another connection.
+        slot.attempt.exchange.trail.borrow_mut().push(self.id);
         // Once its answer has begun, only the rest of its pages is given up.
         let word = if slot.pages.is_empty() { "cancel" } else { "release" };
         s.queue.push_back(Command::Line(format!("{word} {}\r\n", slot.attempt.exchange.request.rid)));
--- a/violetgate/src/engine/pool.rs
+++ b/violetgate/src/engine/pool.rs
@@ -202,7 +202,6 @@
         let Some(conn) = self.pick(&listed, &trail) else {
             return self.report(never(Outcome::Refused));
         };
-        attempt.exchange.trail.borrow_mut().push(conn.id);
         self.at.borrow_mut().insert(query, Rc::clone(&conn));
         conn.serve(attempt);
         self.flush(&conn);
