Bound pages, messages and read-ahead; test the dispatcher and engine connections by themselves

Seen: a review of what one peer can make the program hold found two bounds too wide. An engine's 'chunks' of up to 65,536 would queue that many reads and sever the others on the connection as stalled; 512 clients that send without reading could hold 132 KB each besides their answers, close to the limit of 192 MB. Lines at fault: engine/conn.rs take(), client/codec.rs MAX_MESSAGE, client/session.rs READ_AHEAD.

--- a/violetgate/src/client/codec.rs
+++ b/violetgate/src/client/codec.rs
@@ -3,7 +3,7 @@
 /// The longest start-up packet, as in PostgreSQL.
 pub const MAX_STARTUP: usize = 10_000;
 /// The longest message. Clients hold hundreds of sessions, and memory is short.
-pub const MAX_MESSAGE: usize = 128 * 1024;
+pub const MAX_MESSAGE: usize = 64 * 1024;
 
 /// What a client says first on a connection.
 #[derive(Debug, PartialEq, Eq)]
--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -28,7 +28,7 @@
 /// How long a client may take no byte of an answer.
 const STALLED: Duration = Duration::from_secs(10);
 /// Bytes read ahead while a request is open.
-const READ_AHEAD: usize = codec::MAX_MESSAGE;
+const READ_AHEAD: usize = 16 * 1024;
 /// The pause after the machine gave no connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -294,3 +294,134 @@
         self.run();
     }
 }
+
+#[cfg(test)]
+#[allow(clippy::unwrap_used)]
+mod tests {
+    use super::*;
+    use crate::exchange::Request;
+    use futures_lite::FutureExt;
+    use linnetreach::interface::{Class, Engine, EngineState, Kind};
+
+    /// An engine side that notes what it is told and ends nothing by itself.
+    #[derive(Default)]
+    struct Notes(RefCell<Vec<String>>);
+
+    impl Engines for Notes {
+        fn send(&self, a: Attempt) {
+            let id = a.exchange.request.query.id;
+            self.0.borrow_mut().push(format!("send {id}.{} to {}", a.number, a.engine));
+        }
+        fn cancel(&self, query: QueryId) -> bool {
+            self.0.borrow_mut().push(format!("cancel {query}"));
+            true
+        }
+        fn weigh(&self, query: QueryId, level: u8) {
+            self.0.borrow_mut().push(format!("weigh {query} {level}"));
+        }
+        fn list(&self, _: ListScope, engines: &[Listed]) {
+            self.0.borrow_mut().push(format!("list {}", engines.len()));
+        }
+    }
+
+    fn dispatch(engines: u32) -> (Rc<Dispatch>, Rc<Notes>) {
+        let class =
+            Class { deadline: Some(60_000_000), aim: Some(60_000_000), worth: Some(1.0), ..Class::default() };
+        let settings = Settings {
+            gateways: Some(1),
+            classes: vec![class],
+            kinds: vec![Kind { cores: Some(8.0), memory_mb: None }],
+            can_cancel: true,
+            max_attempts: Some(5),
+            ..Settings::default()
+        };
+        let notes = Rc::new(Notes::default());
+        let d = Dispatch::new(Clock::start(), settings, 7, Rc::<Notes>::clone(&notes));
+        let engine = |id| Engine { id, zone: 0, kind: 0, cell: 0, state: EngineState::Ready, started: None };
+        let addr = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+        let list: Vec<_> = (0..engines).map(|id| Listed { engine: engine(id), addr }).collect();
+        d.news(ListScope::Whole, &list);
+        (d, notes)
+    }
+
+    fn ask(d: &Dispatch, id: QueryId, time_left: Micros) -> Rc<Exchange> {
+        let request = Request {
+            query: NewQuery { id, time_left, ..NewQuery::default() },
+            received: d.now(),
+            rid: "".into(),
+            class: "".into(),
+            token: None,
+            statement: Box::default(),
+        };
+        let exchange = Exchange::new(request);
+        assert!(d.submit(&exchange));
+        exchange
+    }
+
+    fn end(query: QueryId, number: u32, outcome: Outcome) -> AttemptEnd {
+        AttemptEnd { query, number, outcome, cost: None, pages: Vec::new() }
+    }
+
+    fn answer(exchange: &Exchange) -> Option<Answer> {
+        async_io::block_on(futures_lite::future::poll_once(exchange.answer()))
+    }
+
+    /// A severed attempt is tried again under the next number; a late end of the first changes nothing, and
+    /// no end is told twice.
+    #[test]
+    fn each_attempt_ends_once() {
+        let (d, notes) = dispatch(2);
+        let exchange = ask(&d, 1, 60_000_000);
+        assert!(!d.submit(&exchange), "an id that is open is not taken again");
+        d.ended(end(1, 0, Outcome::Severed));
+        d.ended(end(1, 0, Outcome::Completed));
+        assert!(answer(&exchange).is_none());
+        d.ended(end(1, 1, Outcome::Completed));
+        d.ended(end(1, 1, Outcome::Completed));
+        assert!(matches!(answer(&exchange), Some(Answer::Served(_))));
+        assert!(answer(&exchange).is_none() && d.open.borrow().is_empty());
+        let sends = notes.0.borrow().iter().filter(|n| n.starts_with("send 1.")).count();
+        assert_eq!(sends, 2);
+    }
+
+    /// At the end of the client's time the engine is told first, then the client gets its answer, once.
+    #[test]
+    fn a_silent_attempt_is_cancelled_in_time() {
+        let (d, notes) = dispatch(1);
+        let exchange = ask(&d, 1, 20_000);
+        async_io::block_on(async {
+            let answered = async { Some(exchange.answer().await) };
+            let timers = async {
+                d.run_timers().await;
+                None
+            };
+            assert!(matches!(answered.or(timers).await, Some(Answer::Refused { .. })));
+        });
+        assert_eq!(notes.0.borrow().last().unwrap(), "cancel 1");
+        d.ended(end(1, 0, Outcome::Completed));
+        assert!(answer(&exchange).is_none() && d.open.borrow().is_empty() && d.timers.borrow().len() < 3);
+    }
+
+    /// Once the client has left, its attempt is taken back and no answer is made.
+    #[test]
+    fn a_client_that_left_gets_nothing() {
+        let (d, notes) = dispatch(1);
+        let exchange = ask(&d, 1, 60_000_000);
+        d.withdraw(1);
+        d.withdraw(1);
+        assert_eq!(notes.0.borrow().iter().filter(|n| *n == "cancel 1").count(), 1);
+        assert!(answer(&exchange).is_none() && d.open.borrow().is_empty());
+    }
+
+    /// A new priority reaches what is out, but only if it is new.
+    #[test]
+    fn terms_weigh_what_is_out() {
+        let (d, notes) = dispatch(1);
+        let _exchange = ask(&d, 1, 60_000_000);
+        for priority in [3, 3, 2] {
+            d.carry_out(Action::Terms { query: 1, memory_mb: 0.0, priority });
+        }
+        let weighs: Vec<_> = notes.0.borrow().iter().filter(|n| n.starts_with("weigh")).cloned().collect();
+        assert_eq!(weighs, ["weigh 1 3", "weigh 1 2"]);
+    }
+}
--- a/violetgate/src/engine/conn.rs
+++ b/violetgate/src/engine/conn.rs
@@ -15,6 +15,8 @@
 
 /// A result of more bytes than this is no result: 48,000 are allowed.
 const MAX_RESULT: usize = 64 * 1024;
+/// More pages than this are none either: at 6,000 bytes each it takes 8.
+const MAX_PAGES: usize = 256;
 /// More commands than this waiting to be written: the engine has stopped reading.
 const MAX_QUEUE: usize = 2_000;
 
@@ -243,7 +245,7 @@
                 let mut at = reply.at.unwrap_or(0);
                 if first {
                     let chunks = reply.chunks.unwrap_or(1).max(1);
-                    if chunks > MAX_RESULT {
+                    if chunks > MAX_PAGES {
                         return Err("garbage");
                     }
                     slot.pages.resize(chunks, None);
@@ -315,3 +317,95 @@
     }
     codec::serve(out, &request.rid, &fields, &request.statement);
 }
+
+#[cfg(test)]
+#[allow(clippy::unwrap_used, clippy::indexing_slicing)]
+mod tests {
+    use super::*;
+    use crate::exchange::{Exchange, Request};
+    use linnetreach::interface::NewQuery;
+
+    fn attempt(id: QueryId) -> Attempt {
+        let query = NewQuery { id, time_left: 1_000_000, ..NewQuery::default() };
+        let request = Request {
+            query,
+            received: 0,
+            rid: format!("{id:016x}").into(),
+            class: "lookup".into(),
+            token: None,
+            statement: b"SELECT 1".as_slice().into(),
+        };
+        Attempt { exchange: Exchange::new(request), number: 0, engine: 3, level: Some(2), patience: 1_500 }
+    }
+
+    fn conn() -> Rc<Conn> {
+        Conn::new(1, 3, SocketAddr::from(([127, 0, 0, 1], 1)), 0)
+    }
+
+    /// What waits for its connection has surely not run, and no longer may: one that left late would break
+    /// the rule on drains.
+    #[test]
+    fn what_was_never_written_never_ran() {
+        let conn = conn();
+        (1..=3).for_each(|id| conn.serve(attempt(id)));
+        assert!(!conn.cancel(1, 0), "given up before it was written");
+        conn.flush().unwrap();
+        let mut ends: Vec<_> = conn.take_unwritten().into_iter().map(|e| (e.0, e.2)).collect();
+        ends.sort_unstable_by_key(|e| e.0);
+        assert_eq!(ends, [(2, Outcome::Superseded), (3, Outcome::Superseded)]);
+        conn.serve(attempt(4));
+        let ends: Vec<_> = conn.end("connect_refused").into_iter().map(|e| (e.0, e.2)).collect();
+        assert_eq!(ends, [(4, Outcome::Refused)]);
+        assert!(conn.end("reset").is_empty(), "it ends once");
+    }
+
+    /// What was written goes out whole, may have run, and is given up with a word to the engine; its
+    /// connection is noted, so that no later attempt meets its late answer.
+    #[test]
+    fn what_was_written_may_have_run() {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (mut engine, _) = listener.accept().unwrap();
+        let conn = conn();
+        conn.up(Rc::new(Async::new(stream).unwrap()));
+        let first = attempt(1);
+        let exchange = Rc::clone(&first.exchange);
+        conn.serve(first);
+        conn.serve(attempt(2));
+        conn.flush().unwrap();
+        conn.weigh(1, 3);
+        assert!(conn.cancel(1, 0));
+        conn.flush().unwrap();
+        assert_eq!(*exchange.trail.borrow(), [conn.id]);
+        let ends: Vec<_> = conn.end("reset").into_iter().map(|e| (e.0, e.2)).collect();
+        assert_eq!(ends, [(2, Outcome::Severed)]);
+        let mut sent = String::new();
+        engine.read_to_string(&mut sent).unwrap();
+        let serve = |id| format!("serve {id:016x} sort=lookup,patience=2,level=2 8\r\nSELECT 1\r\n");
+        let rest = format!("weigh {:016x} 3\r\ncancel {:016x}\r\n", 1, 1);
+        assert_eq!(sent, [serve(1), serve(2), rest].concat());
+    }
+
+    /// No bytes that an engine may send end in anything but an answer, a wait for more, or garbage.
+    #[test]
+    fn garbage_from_an_engine_is_told_apart() {
+        let ok = b"0000000000000001 ok chunks=2,spent=5,wanted=9 6\r\na\tb\tc\n\r\n";
+        for end in 0..ok.len() {
+            assert!(matches!(codec::parse(&ok[..end]), Parsed::Part), "{end}");
+        }
+        assert!(matches!(codec::parse(ok), Parsed::Whole(_, n) if n == ok.len()));
+        for bytes in [
+            &b"\r\n"[..],
+            b"0000000000000001 ok - 0\n",
+            b"0000000000000001 what - 0\r\n\r\n",
+            b"0000000000000001 ok - 99999999999999999999999\r\n",
+            b"0000000000000001 ok - 1\r\nabc",
+            b"0000000000000001 ok chunks 0\r\n\r\n",
+            b"1 ok - 0\r\n\r\n",
+            b"\xff\xff \xff\r\n",
+            &[b'x'; 2000],
+        ] {
+            assert!(matches!(codec::parse(bytes), Parsed::Garbage), "{}", bytes.escape_ascii());
+        }
+    }
+}
