Tell a repeated failure of the event bus once, and the signal by its name

Seen: a bus that could not be reached left 22 lines in 6 s, in a probe with psql against a program whose bus was down; 300 connections of random bytes, half packets and wild numbers were answered without a panic. Line at fault: bus.rs follow(), which told every reconnect. Now the same failure again is not told.

--- a/violetgate/src/bus.rs
+++ b/violetgate/src/bus.rs
@@ -91,12 +91,16 @@
 
     /// Follows the bus for ever.
     pub async fn follow(mut self, addr: SocketAddr, tell: &mut dyn FnMut(ListScope, &[Listed])) {
-        let mut pause = PAUSE;
+        let (mut pause, mut told) = (PAUSE, String::new());
         loop {
             let from = self.last;
             let mut heard = false;
             let reason = self.session(addr, tell, &mut heard).await;
-            log::line(format_args!("bus {addr} ended reason={reason} from={from} last={}", self.last));
+            // A bus that stays away would fill the log: the same failure again is not told.
+            if heard || reason != told {
+                log::line(format_args!("bus {addr} ended reason={reason} from={from} last={}", self.last));
+            }
+            told = reason;
             pause = if heard { PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
             Timer::after(pause).await;
         }
--- a/violetgate/src/main.rs
+++ b/violetgate/src/main.rs
@@ -87,7 +87,11 @@
 
     async_io::block_on(executor.run(async {
         let signal = signals.next().await;
-        log::line(format_args!("violetgate ends after {signal:?}: {} requests open", sessions.busy()));
+        let name = match signal {
+            Some(Ok(Signal::Int)) => "SIGINT",
+            _ => "SIGTERM",
+        };
+        log::line(format_args!("violetgate ends after {name}: {} requests open", sessions.busy()));
         Timer::after(STAY).await;
         let answered = async {
             while sessions.busy() > 0 {
