End attempts 25 ms before the client's deadline, so that the last answer still arrives

Its cancel request and our time-out raced; where the cancel came first, the query was withdrawn and the request lost. Lines at fault: exchange.rs Request::deadline(), which kept no time for the way there and back nor for the rounding of the budget to milliseconds. Conclusion: nothing is held back by this; a request that is given up earlier is still answered at once.

--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -402,6 +402,18 @@
         assert!(answer(&exchange).is_none() && d.open.borrow().is_empty() && d.timers.borrow().len() < 3);
     }
 
+    /// The attempt's time ends while an answer still reaches the client: at the very end of its budget the
+    /// client's own cancel request may come first, and the request is lost.
+    #[test]
+    fn time_is_kept_for_the_answer_to_travel() {
+        let (d, _) = dispatch(1);
+        for (id, budget, kept) in [(1, 6_000_000, 25_000), (2, 8_000, 2_000)] {
+            let exchange = ask(&d, id, budget);
+            let at = exchange.request.received + budget - kept;
+            assert!(d.timers.borrow().contains(&(at, Due::Overdue(id, 0))), "{:?}", d.timers.borrow());
+        }
+    }
+
     /// Once the client has left, its attempt is taken back and no answer is made.
     #[test]
     fn a_client_that_left_gets_nothing() {
--- a/violetgate/src/exchange.rs
+++ b/violetgate/src/exchange.rs
@@ -29,11 +29,17 @@
     pub statement: Box<[u8]>,
 }
 
+/// The part of a client's time that is kept for the way of the request and of its answer, and for the whole
+/// milliseconds in which a budget is told: an answer made at the very end of the time reaches nobody, as the
+/// client has given up by then and the request counts as lost. A short budget gives a quarter at most.
+const TRANSIT: Micros = 25_000;
+
 impl Request {
-    /// When the client gives up.
+    /// The last moment at which an answer still reaches the client.
     #[must_use]
     pub fn deadline(&self) -> Micros {
-        self.received.saturating_add(self.query.time_left)
+        let left = self.query.time_left;
+        self.received.saturating_add(left - TRANSIT.min(left / 4))
     }
 }
 
