Let mute and idle client connections give way, so that requests are read when they come

Checked: the log held no client line after the limit was reached, so accept had stopped; clients that ask once and stay filled all places for 60 s (IDLE).

Now: always accept; in a full room a mute connection, then the longest idle one gives way, never a busy one (client/room.rs); 2 s for a start-up packet and for a begun message; a bounded drain before a close; the other tasks run between two messages of one client.

--- a/violetgate/src/client/mod.rs
+++ b/violetgate/src/client/mod.rs
@@ -2,5 +2,6 @@
 
 pub mod codec;
 pub mod fields;
+mod room;
 pub mod session;
 pub mod tables;
--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -4,31 +4,37 @@
 use std::collections::HashMap;
 use std::future::{pending, poll_fn};
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::FutureExt;
+use futures_lite::{future, FutureExt};
 use rand_chacha::rand_core::RngCore;
 use rand_chacha::ChaCha8Rng;
 
 use super::codec::{self, Malformed, Startup};
 use super::fields;
+use super::room::{Guest, Room, Stage};
 use crate::config::Names;
 use crate::exchange::{Answer, Exchange, Intake};
 use crate::log;
 
-/// How long a client may take over its start-up packet.
-const STARTUP: Duration = Duration::from_secs(10);
+/// How long a client may take over its start-up packet, and over the rest of a message that it has begun,
+/// however it trickles in: one that says half of something is owed an error or a close within 3 s.
+const STARTUP: Duration = Duration::from_millis(2_000);
+const MESSAGE: Duration = Duration::from_millis(2_000);
 /// How long a session may stay open with nothing asked; clients close theirs after 4 s.
 const IDLE: Duration = Duration::from_secs(60);
 /// How long a client may take no byte of an answer.
 const STALLED: Duration = Duration::from_secs(10);
 /// Bytes read ahead while a request is open.
 const READ_AHEAD: usize = 16 * 1024;
+/// A connection that is closed for what it sent is still read for a moment, up to so many bytes: input left
+/// unread turns the close into a reset, which can destroy the error on its way.
+const DRAIN: (Duration, usize) = (Duration::from_millis(300), 256 * 1024);
 /// The pause after the machine gave no connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -47,13 +53,10 @@
     executor: Rc<LocalExecutor<'static>>,
     intake: Rc<dyn Intake>,
     names: Names,
-    most: usize,
+    room: Room,
     rng: RefCell<ChaCha8Rng>,
     keys: RefCell<HashMap<u32, Rc<Key>>>,
-    open: Cell<usize>,
     busy: Cell<usize>,
-    /// Wakes the listener when a connection has ended.
-    room: RefCell<Option<Waker>>,
 }
 
 impl Sessions {
@@ -70,12 +73,10 @@
             executor,
             intake,
             names,
-            most,
+            room: Room::new(most),
             rng: RefCell::new(rng),
             keys: RefCell::default(),
-            open: Cell::new(0),
             busy: Cell::new(0),
-            room: RefCell::default(),
         })
     }
 
@@ -88,32 +89,28 @@
     /// Takes connections for ever.
     pub async fn listen(self: Rc<Self>, listener: Async<TcpListener>) {
         loop {
-            // At the limit the machine's own queue holds further connections; none is dropped.
-            poll_fn(|cx| {
-                if self.open.get() < self.most {
-                    return Poll::Ready(());
-                }
-                *self.room.borrow_mut() = Some(cx.waker().clone());
-                Poll::Pending
-            })
-            .await;
             match listener.accept().await {
-                Ok((stream, peer)) => {
-                    self.open.set(self.open.get() + 1);
-                    self.executor.spawn(Rc::clone(&self).drive(stream, peer)).detach();
-                }
+                Ok((stream, peer)) => match self.room.enter(self.intake.now()) {
+                    Some(guest) => {
+                        self.executor.spawn(Rc::clone(&self).drive(stream, peer, guest)).detach();
+                    }
+                    None => turn_away(&stream, peer),
+                },
                 Err(e) => {
                     log::line(format_args!("client accept failed: {e}"));
                     Timer::after(ACCEPT_PAUSE).await;
                 }
             }
+            // A burst of connections must not keep those that are open from being read.
+            future::yield_now().await;
         }
     }
 
-    async fn drive(self: Rc<Self>, stream: Async<TcpStream>, peer: SocketAddr) {
+    async fn drive(self: Rc<Self>, stream: Async<TcpStream>, peer: SocketAddr, guest: Rc<Guest>) {
         let _ = stream.get_ref().set_nodelay(true);
         let mut session = Session {
             sessions: &self,
+            guest: &guest,
             stream,
             input: Vec::new(),
             read_at: 0,
@@ -130,10 +127,7 @@
         if let Some((pid, _)) = key {
             self.keys.borrow_mut().remove(&pid);
         }
-        self.open.set(self.open.get() - 1);
-        if let Some(waker) = self.room.borrow_mut().take() {
-            waker.wake();
-        }
+        self.room.leave(&guest);
         log::ended("client", peer, reason, requests);
     }
 
@@ -163,6 +157,15 @@
     }
 }
 
+/// Every connection has a request open: a new one gets its error at once, in one write that its empty socket
+/// takes whole, and is closed.
+fn turn_away(stream: &Async<TcpStream>, peer: SocketAddr) {
+    let mut output = Vec::new();
+    codec::error(&mut output, "FATAL", "53300", "sorry, too many clients already", None);
+    let _ = stream.get_ref().write(&output);
+    log::ended("client", peer, "too_many", 0);
+}
+
 /// Counts a request as busy until its answer is written, whichever way that ends.
 struct Busy<'a>(&'a Cell<usize>);
 
@@ -181,6 +184,7 @@
 
 struct Session<'a> {
     sessions: &'a Rc<Sessions>,
+    guest: &'a Guest,
     stream: Async<TcpStream>,
     input: Vec<u8>,
     /// When the last bytes were read.
@@ -199,31 +203,45 @@
 
 impl Session<'_> {
     async fn serve(&mut self) -> Result<std::convert::Infallible, Reason> {
-        match self
-            .start()
-            .or(async {
-                Timer::after(STARTUP).await;
-                Err("startup_timeout")
-            })
-            .await
-        {
-            Ok(()) => {}
-            Err(reason) => return Err(reason),
-        }
+        let guest = self.guest;
+        let late = async {
+            Timer::after(STARTUP).await;
+            Err("startup_timeout")
+        };
+        let evicted = async {
+            guest.gives_way().await;
+            Err("evicted")
+        };
+        // What has been read comes first: a request that is here already is still served.
+        self.start().or(evicted).or(late).await?;
+        // By when the rest of a message that has begun is due.
+        let mut whole_by = None;
         let mut skipping = false; // an extended query failed: its messages are skipped up to Sync
         loop {
             let (kind, body, size) = match codec::message(&self.input) {
                 Ok(Some(message)) => message,
                 Ok(None) => {
+                    let (stage, until, reason) = if self.input.is_empty() {
+                        (Stage::Idle, Instant::now() + IDLE, "idle")
+                    } else {
+                        let by = *whole_by.get_or_insert_with(|| Instant::now() + MESSAGE);
+                        (Stage::Mute, by, "message_timeout")
+                    };
+                    guest.is(stage, self.sessions.intake.now());
                     let late = async {
-                        Timer::after(IDLE).await;
-                        Err("idle")
+                        Timer::at(until).await;
+                        Err(reason)
+                    };
+                    let evicted = async {
+                        guest.gives_way().await;
+                        Err("evicted")
                     };
-                    self.read().or(late).await?;
+                    self.read().or(evicted).or(late).await?;
                     continue;
                 }
                 Err(e) => return self.break_off(e).await,
             };
+            whole_by = None;
             match kind {
                 b'Q' => {
                     let sql = match codec::query(body) {
@@ -235,6 +253,7 @@
                         continue;
                     }
                     self.query(&sql).await?;
+                    future::yield_now().await;
                     continue;
                 }
                 b'X' => return Err("terminated"),
@@ -257,6 +276,8 @@
             }
             self.input.drain(..size);
             self.write().await?;
+            // A client that sends without end always has more to read: the others come in between.
+            future::yield_now().await;
         }
     }
 
@@ -298,6 +319,20 @@
     async fn break_off(&mut self, e: Malformed) -> Result<std::convert::Infallible, Reason> {
         codec::error(&mut self.output, "FATAL", "08P01", e.0, None);
         self.write().await?;
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        let (mut chunk, mut left) = ([0u8; 4096], DRAIN.1);
+        let drain = async {
+            while left > 0 {
+                match self.stream.read_with(|mut s| s.read(&mut chunk)).await {
+                    Ok(n) if n > 0 => left = left.saturating_sub(n),
+                    _ => break,
+                }
+            }
+        };
+        let late = async {
+            Timer::after(DRAIN.0).await;
+        };
+        drain.or(late).await;
         Err("protocol_violation")
     }
 
@@ -309,6 +344,7 @@
     async fn query(&mut self, sql: &[u8]) -> Result<(), Reason> {
         let sessions = Rc::clone(self.sessions);
         let _busy = Busy::new(&sessions.busy);
+        self.guest.is(Stage::Busy, self.read_at);
         self.requests += 1;
         if fields::is_empty(sql) {
             codec::empty(&mut self.output);
--- a/violetgate/tests/play.rs
+++ b/violetgate/tests/play.rs
@@ -13,6 +13,8 @@
 
 /// Wide enough for the slowest machine; nothing waits this long unless it has failed.
 const WAIT: Duration = Duration::from_secs(60);
+/// What a client is owed within 3 s comes within this on any machine.
+const SOON: Duration = Duration::from_secs(8);
 const SETTINGS: &str = include_str!("exchanges/settings.json");
 
 /// The event bus: says its last number now and then and passes on what the script says.
@@ -198,7 +200,7 @@
     fn step(&mut self, line: &str) {
         let (who, rest) = line.split_once(' ').unwrap_or((line, ""));
         let (verb, text) = rest.split_once(' ').unwrap_or((rest, ""));
-        if !matches!(verb, "accept" | "until" | "read" | "end" | "hello" | "byte" | "exit") {
+        if !matches!(verb, "accept" | "until" | "soon" | "read" | "end" | "hello" | "byte" | "exit") {
             self.note(who, rest);
         }
         match (who, verb) {
@@ -257,12 +259,16 @@
             (_, "query") => self.send(who, &query(text)),
             // Both in one packet, as a client may.
             (_, "startup+query") => self.send(who, &[startup(), query(text)].concat()),
-            (_, "until") => loop {
-                let kind = self.message(who);
-                if kind.is_none() || kind == text.bytes().next() {
-                    break;
+            (_, "until" | "soon") => {
+                let begun = Instant::now();
+                loop {
+                    let kind = self.message(who);
+                    if kind.is_none() || kind == text.bytes().next() {
+                        break;
+                    }
                 }
-            },
+                assert!(verb == "until" || begun.elapsed() < SOON, "{who} waits too long");
+            }
             (_, "byte") => {
                 let mut byte = [0];
                 self.peer(who).read_exact(&mut byte).unwrap();
