Follow the bus to its new address at SIGHUP and keep every connection

Checked: main.rs asked for SIGTERM and SIGINT only, so SIGHUP had its default effect. Ruled out: the bus itself, which was never reached again. At fault: Signals::new in main.rs, and Bus::follow, which held one address.

Now: SIGHUP reads PROXY_CONFIG again and moves the follower, which drops the old connection at once (it would tell nothing more) and asks the new one from the last number held; a file that can't be used is logged and changes nothing; the same after SIGTERM.

--- a/violetgate/src/bus.rs
+++ b/violetgate/src/bus.rs
@@ -1,8 +1,11 @@
 //! The event bus: numbered news of the engine list, followed for ever from the last number that is held.
 
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::task::{Poll, Waker};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
@@ -63,6 +66,37 @@
     Terminated,
 }
 
+/// Where the bus is; a new configuration may move it.
+pub struct Place {
+    addr: Cell<SocketAddr>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Place {
+    /// Creates a place.
+    #[must_use]
+    pub fn new(addr: SocketAddr) -> Self {
+        Place { addr: Cell::new(addr), waker: RefCell::default() }
+    }
+
+    /// Moves it, and lets go of the old one at once: that may stay open and tell nothing more.
+    pub fn move_to(&self, addr: SocketAddr) {
+        self.addr.set(addr);
+        self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+    }
+
+    async fn moved_from(&self, addr: SocketAddr) {
+        poll_fn(|cx| {
+            if self.addr.get() != addr {
+                return Poll::Ready(());
+            }
+            *self.waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        })
+        .await;
+    }
+}
+
 /// What is known of the engine list, and up to which number.
 pub struct Bus {
     names: Names,
@@ -89,20 +123,31 @@
         self.last = last;
     }
 
-    /// Follows the bus for ever.
-    pub async fn follow(mut self, addr: SocketAddr, tell: &mut dyn FnMut(ListScope, &[Listed])) {
+    /// Follows the bus for ever, wherever it moves.
+    pub async fn follow(mut self, place: &Place, tell: &mut dyn FnMut(ListScope, &[Listed])) {
         let (mut pause, mut told) = (PAUSE, String::new());
         loop {
             let from = self.last;
+            let addr = place.addr.get();
             let mut heard = false;
-            let reason = self.session(addr, tell, &mut heard).await;
+            let moved = async {
+                place.moved_from(addr).await;
+                "moved".to_owned()
+            };
+            // What has been read is taken first; a line cut off by the move is asked for again.
+            let reason = self.session(addr, tell, &mut heard).or(moved).await;
             // A bus that stays away would fill the log: the same failure again is not told.
             if heard || reason != told {
                 log::line(format_args!("bus {addr} ended reason={reason} from={from} last={}", self.last));
             }
             told = reason;
             pause = if heard { PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
-            Timer::after(pause).await;
+            if addr == place.addr.get() {
+                let rest = async {
+                    Timer::after(pause).await;
+                };
+                rest.or(place.moved_from(addr)).await;
+            }
         }
     }
 
--- a/violetgate/src/main.rs
+++ b/violetgate/src/main.rs
@@ -23,7 +23,7 @@
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use bus::Bus;
+use bus::{Bus, Place};
 use client::session::Sessions;
 use clock::Clock;
 use config::Config;
@@ -49,12 +49,25 @@
     }
 }
 
+/// SIGHUP: reads the configuration anew. Of what it holds, only the place of the bus can change in a running
+/// program; one that can't be used changes nothing.
+fn reload(place: &Place) {
+    match Config::from_env() {
+        Ok(config) => {
+            log::line(format_args!("violetgate read its configuration again: bus {}", config.bus));
+            place.move_to(config.bus);
+        }
+        Err(what) => log::line(format_args!("violetgate keeps its configuration: {what}")),
+    }
+}
+
 fn run() -> Result<(), String> {
     let clock = Clock::start();
     let config = Config::from_env()?;
     let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
     let listener = Async::new(listener).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
+    let mut signals =
+        Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let executor = Rc::new(LocalExecutor::new());
 
     // Of the descriptors, engines get a quarter, clients a half; the rest is for the program itself and for
@@ -72,8 +85,9 @@
     bus.known(config.known.0, config.known.1, &mut tell);
 
     // The bus is the first task, so that its news come before requests read in the same turn.
-    let addr = config.bus;
-    executor.spawn(async move { bus.follow(addr, &mut tell).await }).detach();
+    let place = Rc::new(Place::new(config.bus));
+    let followed = Rc::clone(&place);
+    executor.spawn(async move { bus.follow(&followed, &mut tell).await }).detach();
     let timers = Rc::clone(&dispatch);
     executor.spawn(async move { timers.run_timers().await }).detach();
     executor.spawn(async move { pool.sweep().await }).detach();
@@ -86,12 +100,24 @@
     log::line(format_args!("violetgate {} listens on {}", config.name, config.listen));
 
     async_io::block_on(executor.run(async {
-        let signal = signals.next().await;
-        let name = match signal {
-            Some(Ok(Signal::Int)) => "SIGINT",
-            _ => "SIGTERM",
+        let name = loop {
+            match signals.next().await {
+                Some(Ok(Signal::Hup)) => reload(&place),
+                Some(Ok(Signal::Int)) => break "SIGINT",
+                _ => break "SIGTERM",
+            }
         };
         log::line(format_args!("violetgate ends after {name}: {} requests open", sessions.busy()));
+        // It goes on serving, and a bus that moves now is still followed.
+        executor
+            .spawn(async move {
+                while let Some(signal) = signals.next().await {
+                    if matches!(signal, Ok(Signal::Hup)) {
+                        reload(&place);
+                    }
+                }
+            })
+            .detach();
         Timer::after(STAY).await;
         let answered = async {
             while sessions.busy() > 0 {
--- a/violetgate/tests/play.rs
+++ b/violetgate/tests/play.rs
@@ -53,6 +53,7 @@
 struct Player {
     child: Child,
     folder: PathBuf,
+    config: String,
     listen: String,
     bus: Bus,
     listeners: Vec<TcpListener>,
@@ -101,11 +102,11 @@
         let folder = std::env::temp_dir().join(format!("violetgate-{}-{name}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
         let path = folder.join("config.json");
-        std::fs::write(&path, config).unwrap();
+        std::fs::write(&path, &config).unwrap();
         let bus = Bus::start(bus, 1);
         let child = program(&path).env("PROXY_LISTEN", &listen).stderr(Stdio::null()).spawn().unwrap();
         let (peers, transcript, key) = (HashMap::new(), String::new(), String::new());
-        Player { child, folder, listen, bus, listeners, peers, transcript, key }
+        Player { child, folder, config, listen, bus, listeners, peers, transcript, key }
     }
 
     fn note(&mut self, who: &str, what: &str) {
@@ -237,9 +238,19 @@
                 let mut stream = self.bus.stream.lock().unwrap();
                 stream.as_mut().unwrap().write_all(&unescape(text)).unwrap();
             }
-            ("program", "term") => {
+            // A new bus, which the file names from now on; the old one stays as it is.
+            ("bus", "move") => {
+                let (place, last) = (free(), *self.bus.last.lock().unwrap());
+                let mut config: serde_json::Value = serde_json::from_str(&self.config).unwrap();
+                config["bus"] = place.local_addr().unwrap().to_string().into();
+                std::fs::write(self.folder.join("config.json"), config.to_string()).unwrap();
+                std::mem::forget(std::mem::replace(&mut self.bus, Bus::start(place, last)));
+            }
+            ("program", "config") => std::fs::write(self.folder.join("config.json"), text).unwrap(),
+            ("program", "term" | "hup") => {
                 let pid = self.child.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+                let signal = format!("-{}", verb.to_uppercase());
+                assert!(Command::new("kill").args([&signal, &pid]).status().unwrap().success());
             }
             ("program", "exit") => {
                 let until = Instant::now() + WAIT;
