Skip second copies of answers and pages instead of dropping the connection

Checked with a trace of the bytes at each end: 17 of 22 were whole second copies of a page just taken. Ruled out: real noise (3 of 22, a 3 GB length, an endless line), which must go on ending the connection. At fault: conn.rs take(), where a filled place or a second 'ok' was garbage, which severed all other requests on that connection and made the module eject the engine.

Now: a copy is skipped, as unknown ids are; a page must be text, so that noise with three columns can't pass.

Conclusion: the health view was wrong by our own closes; a second trace shows bad clients' requests erring five times each, which ejects engines next.

--- a/violetgate/src/engine/conn.rs
+++ b/violetgate/src/engine/conn.rs
@@ -227,7 +227,8 @@
         let mut guard = self.state.borrow_mut();
         let s = &mut *guard;
         let Some(slot) = s.open.get_mut(&reply.id).filter(|slot| slot.written) else {
-            // A late answer to a dead attempt: nobody waits for it, and its further pages can go.
+            // A late answer to a dead attempt, a second copy, or one under an id that nobody here knows: it is
+            // skipped, and its further pages can go.
             if reply.word == Word::Ok && reply.chunks.is_some_and(|n| n > 1) {
                 s.queue.push_back(Command::Line(format!("release {}\r\n", reply.rid)));
             }
@@ -239,17 +240,21 @@
             Word::Error => Outcome::Errored,
             Word::Ok | Word::Batch => {
                 let first = reply.word == Word::Ok;
+                let at = reply.at.filter(|_| !first).unwrap_or(0);
+                if slot.pages.get(at).is_some_and(Option::is_some) {
+                    // A second copy: the first counts, and the others' answers behind it are well.
+                    return Ok(None);
+                }
                 if first != slot.pages.is_empty() {
                     return Err("garbage");
                 }
-                let mut at = reply.at.unwrap_or(0);
                 if first {
                     let chunks = reply.chunks.unwrap_or(1).max(1);
                     if chunks > MAX_PAGES {
                         return Err("garbage");
                     }
                     slot.pages.resize(chunks, None);
-                    (slot.missing, slot.cost, at) = (chunks, reply.cost, 0);
+                    (slot.missing, slot.cost) = (chunks, reply.cost);
                     for page in 1..chunks {
                         let line = format!("read {} {page}\r\n", slot.attempt.exchange.request.rid);
                         s.queue.push_back(Command::Line(line));
@@ -297,9 +302,10 @@
     }
 }
 
-/// Whole rows of three columns, each row ended by a line feed.
+/// Whole rows of three columns of text, each row ended by a line feed.
 fn is_rows(page: &[u8]) -> bool {
     (page.is_empty() || page.ends_with(b"\n"))
+        && std::str::from_utf8(page).is_ok()
         && page
             .split_inclusive(|b| *b == b'\n')
             .all(|row| row.iter().filter(|b| **b == b'\t').count() == 2 && !row.contains(&0))
@@ -386,6 +392,33 @@
         assert_eq!(sent, [serve(1), serve(2), rest].concat());
     }
 
+    /// Second copies and answers under unknown ids are skipped; the result is whole and once. What can't be
+    /// the answer to anything still ends the connection.
+    #[test]
+    fn more_than_belongs_to_an_answer_is_skipped() {
+        let conn = conn();
+        let exchange = attempt(1);
+        conn.serve(exchange);
+        conn.state.borrow_mut().open.get_mut(&1).unwrap().written = true;
+        let page = |id: u8, word: &str, row: &str| {
+            format!("{id:016x} {word} {}\r\n{row}\r\n", row.len()).into_bytes()
+        };
+        let (zero, one) = (page(1, "ok chunks=2,spent=5", "a\tb\tc\n"), page(1, "batch at=1", "d\te\tf\n"));
+        let other = page(9, "batch at=4", "x\ty\tz\n");
+        let bytes = [&other[..], &zero, &zero, &other, &one, &one, &zero].concat();
+        let mut used = 0;
+        let (id, _, outcome, _, pages) = conn.next(&bytes, &mut used, 0).unwrap().unwrap();
+        assert_eq!((id, outcome), (1, Outcome::Completed));
+        assert_eq!(pages.concat(), b"a\tb\tc\nd\te\tf\n");
+        assert!(conn.next(&bytes, &mut used, 0).unwrap().is_none() && used == bytes.len());
+        for spoilt in [page(2, "batch at=0", ""), page(2, "ok chunks=999", ""), page(2, "ok -", "a\tb\n")] {
+            conn.serve(attempt(2));
+            conn.state.borrow_mut().open.get_mut(&2).unwrap().written = true;
+            assert!(conn.next(&spoilt, &mut 0, 0).is_err());
+        }
+        assert!(!is_rows(b"a\t\xff\tc\n"), "noise is no text");
+    }
+
     /// No bytes that an engine may send end in anything but an answer, a wait for more, or garbage.
     #[test]
     fn garbage_from_an_engine_is_told_apart() {
