Blame an engine for an error only once another engine has served that query

Checked with a trace of each attempt's end: 97 requests of bad clients, each sent five times, alternating between two engines. Ruled out: engines that err (no usual request erred twice). At fault: rules.rs ended(), which blamed the engine for each error, so that two bad requests ejected it, and repeated each error up to max_attempts, which used up the ration.

Now: an error may lie with the query. Its engine is blamed once another has served it, at once if it was on trial or the class forbids a repeat; a second error ends the query.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -731,6 +731,8 @@
         q.finished |= end.settled;
         let ran = !matches!(outcome, Outcome::Saturated | Outcome::Refused | Outcome::Superseded);
         q.may_have_run |= ran;
+        let erred = if outcome == Outcome::Errored { q.erred.replace(a.engine) } else { q.erred };
+        let at_fault = outcome == Outcome::Errored && erred.is_some();
         let (key, seq, threads, slot) = (q.asked.key, q.seq, q.threads, q.slot);
         if let Some(n) = self.nodes.get_mut(&a.engine) {
             n.end(id, a.priority, threads, a.memory);
@@ -744,8 +746,20 @@
             }
         }
         match outcome {
-            Outcome::Completed => self.success(id, &a, end.elapsed, end.cost),
-            Outcome::Errored => self.failure(a.engine, FAIL_GAIN),
+            Outcome::Completed => {
+                erred.filter(|e| *e != a.engine).into_iter().for_each(|e| self.failure(e, FAIL_GAIN));
+                self.success(id, &a, end.elapsed, end.cost);
+            }
+            // An error may lie with the query: its engine is blamed once another has served it, and at once
+            // where that can't come or it was on trial. One that errs twice ends: further tries, which would
+            // use up the ration, are no better, and would eject engine after engine. It hurts where most
+            // engines err.
+            Outcome::Errored => {
+                let tried = self.nodes.get(&a.engine).is_some_and(|n| n.ejected);
+                if tried || self.book.get(id).is_some_and(|q| !self.repeatable(q)) {
+                    self.failure(a.engine, FAIL_GAIN);
+                }
+            }
             Outcome::Refused | Outcome::Severed => self.failure(a.engine, 1.0),
             Outcome::Saturated => {
                 let until = now + self.periods(FULL_REST);
@@ -760,7 +774,7 @@
         }
         let in_time = now + micros(self.run(q)).min(q.asked.time_left / 4) < q.deadline;
         let somewhere = self.nodes.values().any(|n| self.in_group(q, &n.listed));
-        if !in_time || !somewhere || !self.may_repeat(q) {
+        if !in_time || !somewhere || at_fault || !self.may_repeat(q) {
             self.finish(id, actions);
         } else if self.lost(q) {
             self.give_up(id, actions);
--- a/src/state.rs
+++ b/src/state.rs
@@ -236,6 +236,8 @@
     /// Where and when the first attempt went that may have run.
     pub risk: Option<(Engine, Micros)>,
     pub avoid: Option<EngineId>,
+    /// Where it erred.
+    pub erred: Option<EngineId>,
     pub held: bool,
     pub finished: bool,
     pub streaming: bool,
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -225,3 +225,40 @@
         }
     }
 }
+
+/// Found with bad clients: queries that no engine can use erred five times each, which ejected engine after
+/// engine and used up the ration, and a fifth of the usual queries was refused.
+#[test]
+fn queries_that_err_everywhere_eject_no_engine() {
+    let mut b = Bench::new(settings(vec![class(10 * S)], 8.0), vec![engine(0), engine(1), engine(2)]);
+    for id in 1..=30 {
+        let first = sent(&b.ask(query(id, 100 * MS)), id).expect("there is room");
+        let second = sent(&b.end(id, 0, first, Outcome::Errored), id).expect("it may be the engine");
+        assert!(first != second);
+        let actions = b.end(id, 1, second, Outcome::Errored);
+        assert!(refused(&actions, id) && sent(&actions, id).is_none(), "it is the query");
+        b.now += 10 * MS;
+    }
+    let places: std::collections::BTreeSet<_> =
+        (101..=103).filter_map(|id| sent(&b.ask(query(id, 100 * MS)), id)).collect();
+    assert_eq!(places.len(), 3, "all engines are still in use");
+}
+
+/// The other side of it: an engine that errs at queries that others serve is ejected.
+#[test]
+fn an_engine_that_errs_alone_is_ejected() {
+    let mut b = Bench::new(settings(vec![class(10 * S)], 8.0), vec![engine(0), engine(1), engine(2)]);
+    let mut erred = 0;
+    for id in 1..=60 {
+        let Some(first) = sent(&b.ask(query(id, 100 * MS)), id) else { continue };
+        b.now += 10 * MS;
+        if first == 0 {
+            erred += 1;
+            let second = sent(&b.end(id, 0, first, Outcome::Errored), id).expect("goes elsewhere");
+            b.end(id, 1, second, Outcome::Completed);
+        } else {
+            b.end(id, 0, first, Outcome::Completed);
+        }
+    }
+    assert!((2..=8).contains(&erred), "it erred {erred} times");
+}
