Give each attempt an engine connection of its own, and none where one was given up

Checked: log of engine connections (each garbage end carried 100 to 500 requests), trace of attempts' ends. Ruled out: descriptors, 212 of 384 in use. At fault: pool.rs pick(), which filled one connection up to streams-per-conn; cancel(), after which a connection that had stopped short or gone silent took new requests; end(), which reported a reset before anything was written as a dead engine; drive(), which waited for ever for the rest of an answer.

One on which an attempt was given up takes no more. The rest of an answer has 0.6 s. Unwritten attempts take the next connection, twice at most, unless the engine refused or stayed silent.

--- a/violetgate/src/engine/conn.rs
+++ b/violetgate/src/engine/conn.rs
@@ -28,6 +28,8 @@
 /// A request that is out on this connection.
 struct Slot {
     attempt: Attempt,
+    /// How many connections have broken before any of it was written.
+    tries: u32,
     /// Some of it has been written.
     written: bool,
     pages: Vec<Option<Box<[u8]>>>,
@@ -97,11 +99,13 @@
         self.state.borrow_mut().stream = Some(stream);
     }
 
-    pub fn serve(&self, attempt: Attempt) {
+    pub fn serve(&self, attempt: Attempt, tries: u32) {
         let mut s = self.state.borrow_mut();
         let id = attempt.exchange.request.query.id;
+        attempt.exchange.trail.borrow_mut().push(self.id);
         s.queue.push_back(Command::Serve(id, attempt.number));
-        let slot = Slot { attempt, written: false, pages: Vec::new(), missing: 0, bytes: 0, cost: None };
+        let slot =
+            Slot { attempt, tries, written: false, pages: Vec::new(), missing: 0, bytes: 0, cost: None };
         s.open.insert(id, slot);
         self.carried.set(self.carried.get() + 1);
     }
@@ -119,8 +123,10 @@
             }
             return false;
         }
-        // A late answer may still come here: a later attempt with the same id takes another connection.
-        slot.attempt.exchange.trail.borrow_mut().push(self.id);
+        // Its engine, or this connection, gave no sign in time; where an answer stopped short, what comes next
+        // here would be taken for its rest. And a late answer must not pass for one to a later attempt of the
+        // same id. So nothing further is asked here, while others that are open still get their answers.
+        self.retired.set(true);
         // Once its answer has begun, only the rest of its pages is given up.
         let word = if slot.pages.is_empty() { "cancel" } else { "release" };
         s.queue.push_back(Command::Line(format!("{word} {}\r\n", slot.attempt.exchange.request.rid)));
@@ -283,10 +289,12 @@
         Ok(Some((reply.id, slot.attempt.number, outcome, slot.cost, pages)))
     }
 
-    /// Ends the connection. What was written on it is severed, what was not has surely never run.
-    pub fn end(&self, reason: &'static str) -> Vec<End> {
+    /// Ends the connection: the ends of what was written on it, which is severed, and what was not, which has
+    /// surely never run, with the count of connections that have broken under it so far.
+    pub fn end(&self, reason: &'static str) -> (Vec<End>, Vec<(Attempt, u32)>) {
+        let (mut ends, mut unsent) = (Vec::new(), Vec::new());
         if self.ended.get().is_some() {
-            return Vec::new();
+            return (ends, unsent);
         }
         self.ended.set(Some(reason));
         let mut s = self.state.borrow_mut();
@@ -294,11 +302,14 @@
             let _ = stream.get_ref().shutdown(Shutdown::Both);
         }
         s.queue.clear();
-        let end = |(id, slot): (QueryId, Slot)| {
-            let outcome = if slot.written { Outcome::Severed } else { Outcome::Refused };
-            (id, slot.attempt.number, outcome, None, Pages::new())
-        };
-        s.open.drain().map(end).collect()
+        for (id, slot) in s.open.drain() {
+            if slot.written {
+                ends.push((id, slot.attempt.number, Outcome::Severed, None, Pages::new()));
+            } else {
+                unsent.push((slot.attempt, slot.tries + 1));
+            }
+        }
+        (ends, unsent)
     }
 }
 
@@ -353,20 +364,24 @@
     #[test]
     fn what_was_never_written_never_ran() {
         let conn = conn();
-        (1..=3).for_each(|id| conn.serve(attempt(id)));
+        (1..=3).for_each(|id| conn.serve(attempt(id), 0));
         assert!(!conn.cancel(1, 0), "given up before it was written");
         conn.flush().unwrap();
         let mut ends: Vec<_> = conn.take_unwritten().into_iter().map(|e| (e.0, e.2)).collect();
         ends.sort_unstable_by_key(|e| e.0);
         assert_eq!(ends, [(2, Outcome::Superseded), (3, Outcome::Superseded)]);
-        conn.serve(attempt(4));
-        let ends: Vec<_> = conn.end("connect_refused").into_iter().map(|e| (e.0, e.2)).collect();
-        assert_eq!(ends, [(4, Outcome::Refused)]);
-        assert!(conn.end("reset").is_empty(), "it ends once");
+        conn.serve(attempt(4), 0);
+        let (ends, unsent) = conn.end("connect_refused");
+        assert!(ends.is_empty());
+        assert_eq!(
+            unsent.iter().map(|(a, n)| (a.exchange.request.query.id, *n)).collect::<Vec<_>>(),
+            [(4, 1)]
+        );
+        assert!(conn.end("reset").1.is_empty(), "it ends once");
     }
 
     /// What was written goes out whole, may have run, and is given up with a word to the engine; its
-    /// connection is noted, so that no later attempt meets its late answer.
+    /// connection takes nothing further, so that no later attempt meets its late answer.
     #[test]
     fn what_was_written_may_have_run() {
         let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
@@ -374,16 +389,14 @@
         let (mut engine, _) = listener.accept().unwrap();
         let conn = conn();
         conn.up(Rc::new(Async::new(stream).unwrap()));
-        let first = attempt(1);
-        let exchange = Rc::clone(&first.exchange);
-        conn.serve(first);
-        conn.serve(attempt(2));
+        conn.serve(attempt(1), 0);
+        conn.serve(attempt(2), 0);
         conn.flush().unwrap();
         conn.weigh(1, 3);
         assert!(conn.cancel(1, 0));
         conn.flush().unwrap();
-        assert_eq!(*exchange.trail.borrow(), [conn.id]);
-        let ends: Vec<_> = conn.end("reset").into_iter().map(|e| (e.0, e.2)).collect();
+        assert!(conn.retired.get());
+        let ends: Vec<_> = conn.end("reset").0.into_iter().map(|e| (e.0, e.2)).collect();
         assert_eq!(ends, [(2, Outcome::Severed)]);
         let mut sent = String::new();
         engine.read_to_string(&mut sent).unwrap();
@@ -398,7 +411,7 @@
     fn more_than_belongs_to_an_answer_is_skipped() {
         let conn = conn();
         let exchange = attempt(1);
-        conn.serve(exchange);
+        conn.serve(exchange, 0);
         conn.state.borrow_mut().open.get_mut(&1).unwrap().written = true;
         let page = |id: u8, word: &str, row: &str| {
             format!("{id:016x} {word} {}\r\n{row}\r\n", row.len()).into_bytes()
@@ -412,7 +425,7 @@
         assert_eq!(pages.concat(), b"a\tb\tc\nd\te\tf\n");
         assert!(conn.next(&bytes, &mut used, 0).unwrap().is_none() && used == bytes.len());
         for spoilt in [page(2, "batch at=0", ""), page(2, "ok chunks=999", ""), page(2, "ok -", "a\tb\n")] {
-            conn.serve(attempt(2));
+            conn.serve(attempt(2), 0);
             conn.state.borrow_mut().open.get_mut(&2).unwrap().written = true;
             assert!(conn.next(&spoilt, &mut 0, 0).is_err());
         }
--- a/violetgate/src/engine/pool.rs
+++ b/violetgate/src/engine/pool.rs
@@ -3,13 +3,14 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
+use std::future::pending;
 use std::net::TcpStream;
 use std::rc::{Rc, Weak};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::FutureExt;
+use futures_lite::{future, FutureExt};
 use linnetreach::interface::{EngineId, EngineState, ListScope, Micros, Outcome, QueryId};
 
 use super::conn::{Conn, End};
@@ -20,6 +21,13 @@
 
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
+/// How long the rest of an answer may take once some of it is here. Engines write answers whole, and may stand
+/// still for half a second; what takes longer has stopped short, and nothing behind it can be read.
+const REST: Duration = Duration::from_millis(600);
+/// So many connections may break under a request before any of it is written; then there is no connection.
+const TRIES: u32 = 3;
+/// A connection that came to nothing, though nobody refused it: it was reset, or the machine gave none.
+const CONNECT_ERROR: &str = "connect_error";
 
 /// The pool.
 pub struct Pool {
@@ -90,10 +98,21 @@
     }
 
     fn end(&self, conn: &Conn, reason: &'static str) {
-        let ends = conn.end(reason);
+        // A machine that refuses or stays silent is no better at the next try.
+        let other = conn.is_up() || reason == CONNECT_ERROR;
+        let (mut ends, unsent) = conn.end(reason);
         if self.conns.borrow_mut().remove(&conn.id).is_some() {
             log::ended("engine", conn.addr, reason, conn.carried.get());
         }
+        for (attempt, tries) in unsent {
+            let (query, number) = (attempt.exchange.request.query.id, attempt.number);
+            if other && tries < TRIES {
+                // One connection reset is no dead engine: what was not written takes the next one.
+                self.place(attempt, tries);
+            } else {
+                ends.push((query, number, Outcome::Refused, None, Pages::new()));
+            }
+        }
         self.report(ends);
     }
 
@@ -119,7 +138,8 @@
         }
     }
 
-    /// A connection to an engine that can take an attempt: an open one if there is one.
+    /// A connection to an engine that can take an attempt. Whatever breaks or spoils a connection costs all
+    /// that is open on it, so each attempt gets one of its own, the one used last, as long as there is room.
     fn pick(&self, listed: &Listed, trail: &[u64]) -> Option<Rc<Conn>> {
         let conns = self.conns.borrow();
         let fits = |c: &&Rc<Conn>| {
@@ -128,19 +148,42 @@
                 && c.load() < self.link.streams
                 && !trail.contains(&c.id)
         };
-        if let Some(conn) = conns.values().filter(fits).max_by_key(|c| c.is_up()) {
+        if let Some(conn) =
+            conns.values().filter(fits).filter(|c| c.load() == 0).max_by_key(|c| c.idle_since.get())
+        {
             return Some(Rc::clone(conn));
         }
-        let full = conns.len() >= self.most;
-        let idle = conns.values().find(|c| c.load() == 0).cloned();
-        drop(conns);
-        if full {
-            let idle = idle?;
-            self.end(&idle, "evicted");
+        if conns.len() >= self.most {
+            if let Some(conn) = conns.values().filter(fits).min_by_key(|c| c.load()) {
+                return Some(Rc::clone(conn));
+            }
+            let idle = conns.values().filter(|c| c.load() == 0).min_by_key(|c| c.idle_since.get()).cloned();
+            drop(conns);
+            self.end(&*idle?, "evicted");
+        } else {
+            drop(conns);
         }
         self.open(listed)
     }
 
+    /// Puts an attempt on a connection, unless its engine has left the list meanwhile.
+    fn place(&self, attempt: Attempt, tries: u32) {
+        let query = attempt.exchange.request.query.id;
+        let number = attempt.number;
+        let never = |outcome| vec![(query, number, outcome, None, Pages::new())];
+        let listed = self.listed.borrow().get(&attempt.engine).cloned();
+        let Some(listed) = listed.filter(|l| l.engine.state == EngineState::Ready) else {
+            return self.report(never(Outcome::Superseded));
+        };
+        let trail = attempt.exchange.trail.borrow().clone();
+        let Some(conn) = self.pick(&listed, &trail) else {
+            return self.report(never(Outcome::Refused));
+        };
+        self.at.borrow_mut().insert(query, Rc::clone(&conn));
+        conn.serve(attempt, tries);
+        self.flush(&conn);
+    }
+
     fn open(&self, listed: &Listed) -> Option<Rc<Conn>> {
         let id = self.next.get();
         self.next.set(id + 1);
@@ -158,7 +201,10 @@
         let stream = match Async::<TcpStream>::connect(conn.addr).or(late).await {
             Ok(stream) => Rc::new(stream),
             Err(e) if e.kind() == std::io::ErrorKind::TimedOut => return self.end(&conn, "connect_timeout"),
-            Err(_) => return self.end(&conn, "connect_refused"),
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
+                return self.end(&conn, "connect_refused");
+            }
+            Err(_) => return self.end(&conn, CONNECT_ERROR),
         };
         if conn.ended.get().is_some() {
             return;
@@ -167,10 +213,20 @@
         conn.up(Rc::clone(&stream));
         self.flush(&conn);
         let mut buffer = Vec::new();
+        // When the rest of an answer that has begun is due.
+        let mut whole_by = None;
         while conn.ended.get().is_none() {
-            match conn.read(&stream, &mut buffer).await {
+            let late = async {
+                match whole_by {
+                    Some(at) => Timer::at(at).await,
+                    None => pending().await,
+                };
+                Err(std::io::ErrorKind::TimedOut.into())
+            };
+            match conn.read(&stream, &mut buffer).or(late).await {
                 Ok(true) => {}
                 Ok(false) => return self.end(&conn, "closed"),
+                Err(e) if e.kind() == std::io::ErrorKind::TimedOut => return self.end(&conn, "cut_short"),
                 Err(_) => return self.end(&conn, "reset"),
             }
             let mut used = 0;
@@ -182,6 +238,13 @@
                 }
             }
             buffer.drain(..used);
+            if buffer.is_empty() {
+                (whole_by, buffer) = (None, Vec::new());
+            } else if used > 0 || whole_by.is_none() {
+                whole_by = Some(Instant::now() + REST);
+            }
+            // An engine that sends without end always has more to read: the others come in between.
+            future::yield_now().await;
             if conn.ended.get().is_none() {
                 self.flush(&conn);
             }
@@ -191,26 +254,16 @@
 
 impl Engines for Pool {
     fn send(&self, attempt: Attempt) {
-        let query = attempt.exchange.request.query.id;
-        let number = attempt.number;
-        let never = |outcome| vec![(query, number, outcome, None, Pages::new())];
-        let listed = self.listed.borrow().get(&attempt.engine).cloned();
-        let Some(listed) = listed.filter(|l| l.engine.state == EngineState::Ready) else {
-            return self.report(never(Outcome::Superseded));
-        };
-        let trail = attempt.exchange.trail.borrow().clone();
-        let Some(conn) = self.pick(&listed, &trail) else {
-            return self.report(never(Outcome::Refused));
-        };
-        self.at.borrow_mut().insert(query, Rc::clone(&conn));
-        conn.serve(attempt);
-        self.flush(&conn);
+        self.place(attempt, 0);
     }
 
     fn cancel(&self, query: QueryId) -> bool {
         let Some(conn) = self.at.borrow_mut().remove(&query) else { return true };
         let written = conn.cancel(query, self.clock.now());
         self.flush(&conn);
+        if conn.retired.get() && conn.load() == 0 {
+            self.end(&conn, "given_up");
+        }
         written
     }
 
@@ -249,3 +302,79 @@
         self.report(ends);
     }
 }
+
+#[cfg(test)]
+#[allow(clippy::unwrap_used, clippy::indexing_slicing)]
+mod tests {
+    use super::*;
+    use crate::exchange::{Exchange, Request};
+    use linnetreach::interface::{Engine, NewQuery};
+
+    #[derive(Default)]
+    struct Ends(RefCell<Vec<(QueryId, Outcome)>>);
+
+    impl Reports for Ends {
+        fn ended(&self, end: AttemptEnd) {
+            self.0.borrow_mut().push((end.query, end.outcome));
+        }
+    }
+
+    /// A pool with one listed engine. Its tasks are never run, so its connections stay as the test has them.
+    fn pool(most: usize) -> (Rc<Pool>, Rc<Ends>) {
+        let link = Link {
+            connect_timeout: Duration::from_secs(60),
+            idle_close: Duration::from_secs(60),
+            streams: 100,
+            tells_cost: true,
+        };
+        let pool = Pool::new(Rc::new(LocalExecutor::new()), Clock::start(), link, most);
+        let ends = Rc::new(Ends::default());
+        let reports: Rc<dyn Reports> = Rc::<Ends>::clone(&ends);
+        pool.report_to(Rc::downgrade(&reports));
+        let engine = Engine { id: 0, zone: 0, kind: 0, cell: 0, state: EngineState::Ready, started: None };
+        pool.list(ListScope::Whole, &[Listed { engine, addr: ([127, 0, 0, 1], 1).into() }]);
+        (pool, ends)
+    }
+
+    fn send(pool: &Pool, id: QueryId) {
+        let query = NewQuery { id, time_left: 1_000_000, ..NewQuery::default() };
+        let request = Request {
+            query,
+            received: 0,
+            rid: format!("{id:016x}").into(),
+            class: "lookup".into(),
+            token: None,
+            statement: b"SELECT 1".as_slice().into(),
+        };
+        let exchange = Exchange::new(request);
+        pool.send(Attempt { exchange, number: 0, engine: 0, level: None, patience: 1_000_000 });
+    }
+
+    /// Each attempt has a connection of its own while there is room; then the least loaded is shared.
+    #[test]
+    fn what_breaks_costs_one_attempt() {
+        let (pool, _) = pool(3);
+        (1..=5).for_each(|id| send(&pool, id));
+        let loads: Vec<_> = pool.conns.borrow().values().map(|c| c.load()).collect();
+        assert_eq!(loads, [2, 2, 1]);
+    }
+
+    /// A connection that is reset before anything was written is no attempt: the next one takes it, a few
+    /// times. One that is refused is: the engine does not run.
+    #[test]
+    fn a_reset_of_a_new_connection_is_no_dead_engine() {
+        let (pool, ends) = pool(3);
+        let last = || pool.conns.borrow().values().last().cloned().unwrap();
+        send(&pool, 1);
+        for _ in 1..TRIES {
+            let first = last();
+            pool.end(&first, CONNECT_ERROR);
+            assert!(first.id != last().id && last().load() == 1 && ends.0.borrow().is_empty());
+        }
+        pool.end(&last(), CONNECT_ERROR);
+        assert_eq!(ends.0.take(), [(1, Outcome::Refused)]);
+        send(&pool, 2);
+        pool.end(&last(), "connect_refused");
+        assert_eq!(ends.0.take(), [(2, Outcome::Refused)]);
+    }
+}
--- a/violetgate/src/exchange.rs
+++ b/violetgate/src/exchange.rs
@@ -67,8 +67,8 @@
 pub struct Exchange {
     /// What was asked.
     pub request: Request,
-    /// The engine connections on which earlier attempts were given up. A later attempt avoids them, so that
-    /// a late answer to a dead attempt can't pass for an answer to a live one with the same id.
+    /// The engine connections that earlier attempts used. A later attempt avoids them, so that a second copy
+    /// of an answer to a dead attempt can't pass for an answer to a live one with the same id.
     pub trail: RefCell<Vec<u64>>,
     state: RefCell<(Option<Answer>, Option<Waker>)>,
 }
