Take no id again that was in use a moment ago

Ruled out: the rest of 300 ms (kept, 309 and 300.04 ms seen without complaint), the accept queue (the machine's overflow counter stood still), the order of reading. At fault: dispatch.rs submit(), which knew open ids only.

Now: an id is not taken again for 10 s; the copy gets its error. Ids forgotten in time, so memory is bounded.

--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -360,7 +360,7 @@
                         let answer = self.wait(&exchange).await?;
                         self.answer(answer);
                     } else {
-                        self.fail("22023", "field `rid` names a request that is still open");
+                        self.fail("22023", "field `rid` names a request that is, or was just now, open");
                     }
                 }
             }
--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -4,7 +4,7 @@
 //! attempt, one end for each, one answer for each request, and one queue of timers.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -20,6 +20,10 @@
 use crate::clock::Clock;
 use crate::exchange::{Answer, Attempt, AttemptEnd, Engines, Exchange, Intake, Listed, Reports};
 
+/// How long an id that was in use is not taken again. Ids are new with every request: one that comes again is a
+/// client's mistake, and its bytes may mean something else.
+const SPENT: Micros = 10_000_000;
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Wake,
@@ -43,6 +47,25 @@
     out: Option<Out>,
 }
 
+/// Ids that were in use a short while ago.
+#[derive(Default)]
+struct Spent {
+    ids: HashSet<QueryId>,
+    by_age: VecDeque<(Micros, QueryId)>,
+}
+
+impl Spent {
+    fn add(&mut self, id: QueryId, now: Micros) {
+        while let Some((_, old)) = self.by_age.front().copied().filter(|(at, _)| at + SPENT < now) {
+            self.by_age.pop_front();
+            self.ids.remove(&old);
+        }
+        if self.ids.insert(id) {
+            self.by_age.push_back((now, id));
+        }
+    }
+}
+
 /// The dispatcher of one gateway.
 pub struct Dispatch {
     clock: Clock,
@@ -50,6 +73,7 @@
     effects: Vec<Effect>,
     engines: Rc<dyn Engines>,
     open: RefCell<HashMap<QueryId, Open>>,
+    spent: RefCell<Spent>,
     events: RefCell<VecDeque<Event>>,
     running: Cell<bool>,
     timers: RefCell<BTreeSet<(Micros, Due)>>,
@@ -67,6 +91,7 @@
             gateway: RefCell::new(Gateway::new(settings, seed)),
             engines,
             open: RefCell::default(),
+            spent: RefCell::default(),
             events: RefCell::new(VecDeque::from([Event::Woke])),
             running: Cell::new(false),
             timers: RefCell::default(),
@@ -215,6 +240,11 @@
         }
     }
 
+    fn strike(&self, open: &mut HashMap<QueryId, Open>, id: QueryId) {
+        open.remove(&id);
+        self.spent.borrow_mut().add(id, self.clock.now());
+    }
+
     fn settle(&self, id: QueryId, answer: Answer) {
         let mut open = self.open.borrow_mut();
         let Some(o) = open.get_mut(&id) else { return };
@@ -222,7 +252,7 @@
             o.exchange.settle(answer);
         }
         if o.out.is_none() {
-            open.remove(&id);
+            self.strike(&mut open, id);
         }
     }
 }
@@ -243,7 +273,9 @@
     fn submit(&self, exchange: &Rc<Exchange>) -> bool {
         let id = exchange.request.query.id;
         let mut open = self.open.borrow_mut();
-        if open.contains_key(&id) {
+        // An engine that meets an id again takes it for a further attempt of the first request, whose turn and
+        // whose answer have passed.
+        if open.contains_key(&id) || self.spent.borrow().ids.contains(&id) {
             return false;
         }
         let query = exchange.request.query.clone();
@@ -262,7 +294,7 @@
         let Some(o) = open.get_mut(&query).filter(|o| !o.answered) else { return };
         o.answered = true;
         if o.out.is_none() {
-            open.remove(&query);
+            self.strike(&mut open, query);
         }
         drop(open);
         self.events.borrow_mut().push_back(Event::ClientGone { query });
@@ -285,7 +317,7 @@
         }
         let settled = o.answered;
         if settled {
-            open.remove(&end.query);
+            self.strike(&mut open, end.query);
         }
         drop(open);
         let elapsed = self.clock.now().saturating_sub(out.sent);
@@ -344,16 +376,19 @@
         (d, notes)
     }
 
-    fn ask(d: &Dispatch, id: QueryId, time_left: Micros) -> Rc<Exchange> {
-        let request = Request {
+    fn request(d: &Dispatch, id: QueryId, time_left: Micros) -> Request {
+        Request {
             query: NewQuery { id, time_left, ..NewQuery::default() },
             received: d.now(),
             rid: "".into(),
             class: "".into(),
             token: None,
             statement: Box::default(),
-        };
-        let exchange = Exchange::new(request);
+        }
+    }
+
+    fn ask(d: &Dispatch, id: QueryId, time_left: Micros) -> Rc<Exchange> {
+        let exchange = Exchange::new(request(d, id, time_left));
         assert!(d.submit(&exchange));
         exchange
     }
@@ -366,6 +401,14 @@
         async_io::block_on(futures_lite::future::poll_once(exchange.answer()))
     }
 
+    /// Spent ids are forgotten in their time, so that they don't pile up.
+    #[test]
+    fn spent_ids_are_forgotten() {
+        let mut spent = Spent::default();
+        (0..1_000).for_each(|id| spent.add(id, id * SPENT / 10));
+        assert!(spent.ids.len() < 15 && spent.by_age.len() == spent.ids.len(), "{}", spent.ids.len());
+    }
+
     /// A severed attempt is tried again under the next number; a late end of the first changes nothing, and
     /// no end is told twice.
     #[test]
@@ -380,6 +423,8 @@
         d.ended(end(1, 1, Outcome::Completed));
         assert!(matches!(answer(&exchange), Some(Answer::Served(_))));
         assert!(answer(&exchange).is_none() && d.open.borrow().is_empty());
+        let again = Exchange::new(request(&d, 1, 60_000_000));
+        assert!(!d.submit(&again), "nor is one that was open a moment ago");
         let sends = notes.0.borrow().iter().filter(|n| n.starts_with("send 1.")).count();
         assert_eq!(sends, 2);
     }
--- a/violetgate/src/exchange.rs
+++ b/violetgate/src/exchange.rs
@@ -107,7 +107,7 @@
 
 /// What a client protocol may ask of the core.
 pub trait Intake {
-    /// Takes a request in; its answer comes through the exchange. False: that id is already open.
+    /// Takes a request in; its answer comes through the exchange. False: that id is open, or was just now.
     fn submit(&self, exchange: &Rc<Exchange>) -> bool;
     /// The client no longer waits.
     fn withdraw(&self, query: QueryId);
