Let a class shun engines that lose its queries while they serve the others

Checked with a trace of attempts: on three of six engines 63 % of the look-ups got no answer, at random over tables, tenants, sizes, nodes and connections (some had answered before and after), while the rest came as fast as ever and reports and loads were all served there. Ruled out: silent connections, full engines, a line for memory, slowness (median unchanged). At fault: check(), which held an engine for well as long as it gave any sign, so that most look-ups went on going there, and the ration ran out.

Now: silence under a query while its engine answers others briskly counts against that engine for that class alone; the class shuns it and returns by trials, as with ejection, while a third of the engines still serve it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,7 +13,7 @@
     Action, Class, Cost, DedupGroup, Effect, Ended, Engine, EngineId, EngineState, Event, ListScope, Load,
     Micros, NewQuery, Outcome, Progress, QueryId, Settings,
 };
-use crate::state::{micros, secs, Attempt, Book, Fleet, Learned, Node, Query};
+use crate::state::{micros, secs, Attempt, Book, Fleet, Health, Learned, Node, Query};
 
 /// Threads a core that all gateways together may hold at an engine before any widening.
 const THREADS_PER_CORE: f64 = 2.0;
@@ -63,6 +63,8 @@
 /// An ejected engine rests this many note periods, doubled at each failed trial.
 const REST: f64 = 1.0;
 const REST_DOUBLINGS: u32 = 3;
+/// A class shuns engines only while one in so many serves it.
+const LEAST_SERVING: usize = 3;
 /// Note periods without any sign after which an attempt is taken as silent.
 const SILENT_NOTES: f64 = 1.7;
 /// Multiples of its expected run that a query may stay silent where there are no notes.
@@ -243,7 +245,7 @@
     /// Listed as running and not ejected. Where most engines look bad, the cause is shared (or lies here),
     /// and ejecting would leave nobody to serve.
     fn healthy(&self, n: &Node) -> bool {
-        n.listed.state == EngineState::Ready && (!n.ejected || self.fleet.mostly_bad)
+        n.listed.state == EngineState::Ready && (!n.health.ejected || self.fleet.mostly_bad)
     }
 
     /// What holds for the whole fleet at this moment.
@@ -255,7 +257,7 @@
             n.chance_until = self.now + first.max(1);
         }
         let ready = || self.nodes.values().filter(|n| n.listed.state == EngineState::Ready);
-        self.fleet.mostly_bad = 2 * ready().filter(|n| n.ejected).count() > ready().count();
+        self.fleet.mostly_bad = 2 * ready().filter(|n| n.health.ejected).count() > ready().count();
         let healthy = || ready().filter(|n| self.healthy(n));
         let open = healthy().filter(|n| n.line_until <= self.now).map(|n| self.bound(n)).sum();
         (self.fleet.room, self.fleet.open) = (healthy().map(|n| self.bound(n)).sum(), open);
@@ -505,9 +507,15 @@
     /// no line for memory, no load in the way, and not ejected (one trial at a time once its rest is over).
     fn fits(&self, q: &Query, n: &Node) -> bool {
         let c = self.class_of(q);
-        if n.ejected && !self.fleet.mostly_bad {
+        if n.health.ejected && !self.fleet.mostly_bad {
             let safe = c.effect == Effect::Idempotent;
-            return safe && n.out.is_empty() && n.rest_until <= self.now;
+            return safe && n.out.is_empty() && n.health.rest_until <= self.now;
+        }
+        let of_class = |id: &QueryId| self.book.get(*id).is_some_and(|o| o.slot == q.slot);
+        if let Some(h) = n.class_health.get(&q.slot).filter(|h| h.ejected && self.others_serve(q.slot)) {
+            if !self.repeatable(q) || h.rest_until > self.now || n.out.iter().any(of_class) {
+                return false;
+            }
         }
         if n.line_until > self.now {
             return false;
@@ -518,7 +526,6 @@
         // "At least one query" holds for each class: one wide query may pass the whole bound and would shut
         // out the short ones. A slow engine keeps to one query in all.
         let bound = self.bound(n);
-        let of_class = |id: &QueryId| self.book.get(*id).is_some_and(|o| o.slot == q.slot);
         if self.ahead(q, &n.threads) + q.threads > bound + 1e-9
             && (bound <= 0.0 || n.out.iter().any(of_class))
         {
@@ -755,7 +762,7 @@
             // use up the ration, are no better, and would eject engine after engine. It hurts where most
             // engines err.
             Outcome::Errored => {
-                let tried = self.nodes.get(&a.engine).is_some_and(|n| n.ejected);
+                let tried = self.nodes.get(&a.engine).is_some_and(|n| n.health.ejected);
                 if tried || self.book.get(id).is_some_and(|q| !self.repeatable(q)) {
                     self.failure(a.engine, FAIL_GAIN);
                 }
@@ -811,18 +818,15 @@
         let keep = 1.0 - (work / span.max(1e-3)).min(0.5);
         self.fleet.mu_work = self.fleet.mu_work * keep + work;
         self.fleet.mu_time = self.fleet.mu_time * keep + time;
-        let (threads, told, now) = (q.threads, self.s.reports_utilisation, self.now);
+        let (threads, slot, told, now) = (q.threads, q.slot, self.s.reports_utilisation, self.now);
         self.paced(a.engine, a.priority, work / time, PACE_GAIN);
         let Some(n) = self.nodes.get_mut(&a.engine) else { return };
         n.heard = now;
         if n.memory_out > IN_USE * n.memory_share * n.memory_mb.unwrap_or(f64::MAX) && n.line_until <= now {
             n.memory_share = (n.memory_share + SHARE_STEP).min(1.0);
         }
-        n.failing *= (1.0 - FAIL_GAIN).powi(1 + i32::from(n.ejected));
-        if n.failing < TRUST {
-            n.ejected = false;
-            n.failed_trials = 0;
-        }
+        let of_class = n.class_health.get_mut(&slot).into_iter();
+        of_class.chain([&mut n.health]).for_each(recover);
         let (pace, step) = (n.pace, ANSWER_STEP * threads);
         // Late answers are not near the unloaded time, however low an estimate makes the pace look.
         let narrow = pace < FAR_FROM_UNLOADED || (late && !calm);
@@ -881,18 +885,26 @@
     /// returns by trials, whatever ails it.
     fn failure(&mut self, engine: EngineId, weight: f64) {
         let (now, rest) = (self.now, self.periods(REST));
-        let Some(n) = self.nodes.get_mut(&engine) else { return };
-        n.failing += weight * (1.0 - n.failing);
-        if n.failing > EJECT && n.rest_until <= now {
-            let rest = rest << n.failed_trials.min(REST_DOUBLINGS);
-            if n.ejected {
-                n.failed_trials += 1;
-            }
-            n.ejected = true;
-            n.rest_until = now + rest;
+        self.nodes.get_mut(&engine).into_iter().for_each(|n| fail(&mut n.health, weight, now, rest));
+    }
+
+    /// Silence under a query while the engine answers others, and briskly: it is not slow, it loses queries.
+    /// Where those are of one class, that class shuns it and returns by trials, while others keep it. It hurts
+    /// where a class' runs scatter widely.
+    fn lost_there(&mut self, engine: EngineId, slot: usize) {
+        let (now, rest) = (self.now, self.periods(REST));
+        if let Some(n) = self.nodes.get_mut(&engine).filter(|n| n.pace > FAR_FROM_UNLOADED) {
+            fail(n.class_health.entry(slot).or_default(), FAIL_GAIN, now, rest);
         }
     }
 
+    /// Whether enough engines serve a class for it to shun the others; else the cause is shared.
+    fn others_serve(&self, slot: usize) -> bool {
+        let healthy = || self.nodes.values().filter(|n| self.healthy(n));
+        let serve = |n: &&Node| n.class_health.get(&slot).is_none_or(|h| !h.ejected);
+        LEAST_SERVING * healthy().filter(serve).count() >= healthy().count()
+    }
+
     fn note(&mut self, id: QueryId, attempt: u32, progress: Progress, actions: &mut Vec<Action>) {
         let now = self.now;
         let (rest, gateways) = (self.periods(LINE_REST), self.gateways);
@@ -984,6 +996,7 @@
         let now = self.now;
         if let Some(a) = &q.out {
             let (engine, sent, cancelled, waits) = (a.engine, a.sent.max(a.heard), a.cancelled, a.waits);
+            let known = a.silent;
             if now >= q.deadline + self.s.grace_to_answer.unwrap_or(0) / 2 {
                 self.finish(id, actions);
                 return;
@@ -997,8 +1010,15 @@
                 let (lost, slot, blame) = (self.lost(q), q.slot, self.blame(q));
                 if silent && !waits && self.nodes.get(&engine).is_none_or(|n| n.heard <= sent) {
                     self.failure(engine, blame);
+                } else if silent && !waits && !known {
+                    self.lost_there(engine, slot);
                 }
                 if silent {
+                    self.book
+                        .get_mut(id)
+                        .and_then(|q| q.out.as_mut())
+                        .into_iter()
+                        .for_each(|a| a.silent = true);
                     let share = &mut self.learned[slot].silent;
                     *share += GAIN * (1.0 - *share);
                 }
@@ -1047,3 +1067,22 @@
         actions.extend((0..count).map(turn));
     }
 }
+
+/// A failure: enough of them eject.
+fn fail(h: &mut Health, weight: f64, now: Micros, rest: Micros) {
+    h.failing += weight * (1.0 - h.failing);
+    if h.failing > EJECT && h.rest_until <= now {
+        let rest = rest << h.failed_trials.min(REST_DOUBLINGS);
+        h.failed_trials += u32::from(h.ejected);
+        h.ejected = true;
+        h.rest_until = now + rest;
+    }
+}
+
+/// A success; those of trials weigh double.
+fn recover(h: &mut Health) {
+    h.failing *= (1.0 - FAIL_GAIN).powi(1 + i32::from(h.ejected));
+    if h.failing < TRUST {
+        *h = Health { failing: h.failing, rest_until: h.rest_until, ..Health::default() };
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -94,6 +94,15 @@
     pub coin_until: Micros,
 }
 
+/// How well attempts fare: a moving share of failures, and whether it has led to ejection.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Health {
+    pub failing: f64,
+    pub ejected: bool,
+    pub rest_until: Micros,
+    pub failed_trials: u32,
+}
+
 /// An engine as this gateway knows it.
 #[derive(Debug)]
 pub(crate) struct Node {
@@ -114,10 +123,9 @@
     pub ease: f64,
     pub eased: Micros,
     pub heard: Micros,
-    pub failing: f64,
-    pub ejected: bool,
-    pub rest_until: Micros,
-    pub failed_trials: u32,
+    pub health: Health,
+    /// The same for queries of one class, by its place.
+    pub class_health: BTreeMap<usize, Health>,
     pub line_until: Micros,
     pub cold_sent: VecDeque<(Micros, f64)>,
     /// Drawn once a span while the engine is cold.
@@ -147,10 +155,8 @@
             ease: 0.0,
             eased: 0,
             heard: 0,
-            failing: 0.0,
-            ejected: false,
-            rest_until: 0,
-            failed_trials: 0,
+            health: Health::default(),
+            class_health: BTreeMap::new(),
             line_until: 0,
             cold_sent: VecDeque::new(),
             chance: 1.0,
@@ -216,6 +222,8 @@
     pub waits: bool,
     /// It told that it lacks memory.
     pub spills: bool,
+    /// It has been silent for too long.
+    pub silent: bool,
     pub cancelled: bool,
 }
 
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -262,3 +262,43 @@
     }
     assert!((2..=8).contains(&erred), "it erred {erred} times");
 }
+
+/// Found on an incident: half of the engines lost two in three look-ups and served all else as ever, which used
+/// up the ration, and a third of the look-ups was refused while other engines had room.
+#[test]
+fn a_class_shuns_engines_that_lose_it() {
+    let mut s = settings(vec![class(10 * S), class(10 * S)], 8.0);
+    s.note_period = None;
+    let mut b = Bench::new(s, (0..4).map(engine).collect());
+    let (mut lost, mut others) = (0, 0);
+    for id in 1..=200 {
+        let slot = u32::from(id % 2 == 0);
+        let actions = b.ask(NewQuery { class: slot, ..query(id, 100 * MS) });
+        let engine = sent(&actions, id).expect("there is room");
+        b.now += 50 * MS;
+        if slot == 0 && engine < 2 {
+            lost += 1;
+            b.now += 50 * MS;
+            // Others are answered there meanwhile.
+            let others = 1_000 * id..1_000 * id + 12;
+            let ask = |other| {
+                let at = sent(&b.ask(NewQuery { class: 1, ..query(other, 100 * MS) }), other);
+                (other, at.expect("there is room"))
+            };
+            let out: Vec<_> = others.map(ask).collect();
+            assert!(out.iter().any(|(_, at)| *at == engine));
+            b.now += 100 * MS;
+            out.iter().for_each(|(other, at)| drop(b.end(*other, 0, *at, Outcome::Completed)));
+            let actions = b.at(b.now + 2 * S);
+            let next = sent(&b.end(id, 0, engine, Outcome::Recalled), id);
+            assert!(cancelled(&actions, id) && next.is_some_and(|e| e != engine), "it moves on");
+            b.event(Event::ClientGone { query: id });
+            b.end(id, 1, next.expect("it was sent"), Outcome::Recalled);
+        } else {
+            others += u32::from(slot == 1 && engine < 2);
+            b.end(id, 0, engine, Outcome::Completed);
+        }
+    }
+    assert!(lost < 25, "{lost} were lost");
+    assert!(others > 25, "only {others} of the other class went there");
+}
