--- a/src/rules.rs
+++ b/src/rules.rs
@@ -889,8 +889,8 @@
     }
 
     /// Silence under a query while the engine answers others, and briskly: it is not slow, it loses queries.
-    /// Where those are of one class, that class shuns it and returns by trials, while others keep it. It hurts
-    /// where a class' runs scatter widely.
+    /// Where those are of one class, that class shuns it and returns by trials, while others keep it. It
+    /// hurts where the runs of a class scatter widely.
     fn lost_there(&mut self, engine: EngineId, slot: usize) {
         let (now, rest) = (self.now, self.periods(REST));
         if let Some(n) = self.nodes.get_mut(&engine).filter(|n| n.pace > FAR_FROM_UNLOADED) {
