Choose engines by their free threads against the base bound, and forgive a reset

Ruled out: resets as such (339 in 23 s, all repeated within the ration), descriptors, silence. Also at fault: ended(), where each broken connection ejected its engine at once.

Now: free threads count against the base bound; a widened bound only says whether a query fits. A severed attempt weighs a quarter of what a refused connection does, as an engine that died refuses the next.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -467,7 +467,10 @@
             let near = self.s.zone.is_none_or(|z| z == n.listed.zone);
             // Its chance paces a cold engine already where this gateway's part is less than a query.
             let weight = bound / self.warmth(n).max(1e-3);
-            let (own, lot) = if part { (0.0, (draw / 4_294_967_296.0).ln() / weight) } else { (bound, 0.0) };
+            // Free threads count against the base; a widened bound says only whether a query fits. Else the
+            // first engine to widen takes all, from every gateway, while the others, idle, never widen.
+            let base = if bound > 0.0 { self.base_bound(n.cores) * self.warmth(n) } else { 0.0 };
+            let (own, lot) = if part { (0.0, (draw / 4_294_967_296.0).ln() / weight) } else { (base, 0.0) };
             let free = (q.avoid != Some(e), own - self.ahead(q, &n.threads), near, self.ease(n), lot);
             if free > most {
                 most = free;
@@ -767,7 +770,9 @@
                     self.failure(a.engine, FAIL_GAIN);
                 }
             }
-            Outcome::Refused | Outcome::Severed => self.failure(a.engine, 1.0),
+            Outcome::Refused => self.failure(a.engine, 1.0),
+            // One connection broke, maybe for what was on it; an engine that died refuses the next.
+            Outcome::Severed => self.failure(a.engine, FAIL_GAIN),
             Outcome::Saturated => {
                 let until = now + self.periods(FULL_REST);
                 self.nodes.get_mut(&a.engine).into_iter().for_each(|n| n.line_until = until);
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -302,3 +302,47 @@
     assert!(lost < 25, "{lost} were lost");
     assert!(others > 25, "only {others} of the other class went there");
 }
+
+/// Found on days with resets: each broken connection ejected its engine, though it ran as well as ever. An
+/// engine that is gone refuses the next connection.
+#[test]
+fn one_broken_connection_ejects_no_engine() {
+    let sent_to_first = |outcome| {
+        let mut b = Bench::new(settings(vec![class(10 * S)], 8.0), vec![engine(0), engine(1)]);
+        let first = sent(&b.ask(query(1, 100 * MS)), 1).expect("there is room");
+        b.end(1, 0, first, outcome);
+        (2..=9).filter_map(|id| sent(&b.ask(query(id, 100 * MS)), id)).filter(|e| *e == first).count()
+    };
+    assert!(sent_to_first(Outcome::Severed) >= 3);
+    assert_eq!(sent_to_first(Outcome::Refused), 0);
+}
+
+/// Found on sockets and on days with deploys: the first engine whose bound widened had the most free threads
+/// from then on, took nearly all queries of every gateway, and crowded, while the others stood idle.
+#[test]
+fn the_engine_that_widens_first_takes_nearly_all() {
+    let mut s = settings(vec![class(10 * S)], 8.0);
+    s.gateways = Some(3);
+    let mut b = Bench::new(s, vec![engine(0)]);
+    let mut id = 0;
+    let mut serve = |b: &mut Bench, n: usize| {
+        let out: Vec<_> = (0..n)
+            .filter_map(|_| {
+                id += 1;
+                let place = sent(&b.ask(query(id, 100 * MS)), id);
+                if place.is_none() {
+                    b.event(Event::ClientGone { query: id });
+                }
+                Some((id, place?))
+            })
+            .collect();
+        b.now += 100 * MS;
+        out.iter().for_each(|(id, e)| drop(b.end(*id, 0, *e, Outcome::Completed)));
+        out.into_iter().map(|(_, e)| e).collect::<Vec<_>>()
+    };
+    (0..30).for_each(|_| drop(serve(&mut b, 16)));
+    assert!(serve(&mut b, 30).len() > 10, "its bound has widened");
+    (1..4).for_each(|e| drop(b.patch(engine(e))));
+    let places = serve(&mut b, 16);
+    assert!((0..4).all(|e| places.iter().filter(|p| **p == e).count() == 4), "{places:?}");
+}
