Let the machine hold 4096 connections until they are accepted

At fault: TcpListener::bind, whose queue of 128 one burst fills; what comes then is dropped, and usual clients among it try again after 1, 3 and 7 s.

Now: the listener asks for a queue of 4096 (rustix, which async-io brings already).

--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -35,6 +35,10 @@
 /// A connection that is closed for what it sent is still read for a moment, up to so many bytes: input left
 /// unread turns the close into a reset, which can destroy the error on its way.
 const DRAIN: (Duration, usize) = (Duration::from_millis(300), 256 * 1024);
+/// Connections that the machine may hold until they are accepted. The standard library's 128 are gone in one
+/// burst of clients that say nothing; the machine then drops what comes, and the usual clients among it try again
+/// only after one, three and seven seconds.
+const BACKLOG: i32 = 4096;
 /// The pause after the machine gave no connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -48,6 +52,17 @@
     waker: RefCell<Option<Waker>>,
 }
 
+/// Listens for clients.
+///
+/// # Errors
+///
+/// The machine does not give the address.
+pub fn bind(addr: SocketAddr) -> std::io::Result<Async<TcpListener>> {
+    let listener = TcpListener::bind(addr)?;
+    rustix::net::listen(&listener, BACKLOG)?;
+    Async::new(listener)
+}
+
 /// All client connections.
 pub struct Sessions {
     executor: Rc<LocalExecutor<'static>>,
@@ -457,3 +472,21 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+#[allow(clippy::unwrap_used)]
+mod tests {
+    use super::*;
+
+    /// A burst of connections waits for the listener, as far as the machine lets it, and none is dropped.
+    #[test]
+    fn a_burst_of_connections_finds_room() {
+        let listener = bind(([127, 0, 0, 1], 0).into()).unwrap();
+        let addr = listener.get_ref().local_addr().unwrap();
+        let most = std::fs::read_to_string("/proc/sys/net/core/somaxconn").unwrap_or_default();
+        let burst = most.trim().parse().unwrap_or(300).min(300);
+        let connect = |_| TcpStream::connect_timeout(&addr, Duration::from_millis(900)).unwrap();
+        let open: Vec<_> = (0..burst).map(connect).collect();
+        assert_eq!(open.len(), burst);
+    }
+}
--- a/violetgate/src/main.rs
+++ b/violetgate/src/main.rs
@@ -10,13 +10,12 @@
 mod exchange;
 mod log;
 
-use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
-use async_io::{Async, Timer};
+use async_io::Timer;
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
 use linnetreach::interface::ListScope;
@@ -64,8 +63,8 @@
 fn run() -> Result<(), String> {
     let clock = Clock::start();
     let config = Config::from_env()?;
-    let listener = TcpListener::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
-    let listener = Async::new(listener).map_err(|e| format!("listen {}: {e}", config.listen))?;
+    let listener =
+        client::session::bind(config.listen).map_err(|e| format!("listen {}: {e}", config.listen))?;
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let executor = Rc::new(LocalExecutor::new());
