Add the management address and let a second process take over under load

Ruled out: passing the listening descriptor, as nothing is lost by closing it in the turn that empties its queue. The listener now shares its port (net.rs), health is served at the second address (admin/), a lock tells of the other process (presence.rs), and the end of the process counts with the settings' deadlines (main.rs).

--- a/violetgate/src/bus.rs
+++ b/violetgate/src/bus.rs
@@ -66,9 +66,10 @@
     Terminated,
 }
 
-/// Where the bus is; a new configuration may move it.
+/// Where the bus is; a new configuration may move it. And whether it has told anything yet.
 pub struct Place {
     addr: Cell<SocketAddr>,
+    heard: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
@@ -76,7 +77,7 @@
     /// Creates a place.
     #[must_use]
     pub fn new(addr: SocketAddr) -> Self {
-        Place { addr: Cell::new(addr), waker: RefCell::default() }
+        Place { addr: Cell::new(addr), heard: Cell::new(false), waker: RefCell::default() }
     }
 
     /// Moves it, and lets go of the old one at once: that may stay open and tell nothing more.
@@ -85,6 +86,12 @@
         self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
     }
 
+    /// Whether the bus has told anything since the start.
+    #[must_use]
+    pub fn heard(&self) -> bool {
+        self.heard.get()
+    }
+
     async fn moved_from(&self, addr: SocketAddr) {
         poll_fn(|cx| {
             if self.addr.get() != addr {
@@ -135,7 +142,7 @@
                 "moved".to_owned()
             };
             // What has been read is taken first; a line cut off by the move is asked for again.
-            let reason = self.session(addr, tell, &mut heard).or(moved).await;
+            let reason = self.session(addr, tell, place, &mut heard).or(moved).await;
             // A bus that stays away would fill the log: the same failure again is not told.
             if heard || reason != told {
                 log::line(format_args!("bus {addr} ended reason={reason} from={from} last={}", self.last));
@@ -155,6 +162,7 @@
         &mut self,
         addr: SocketAddr,
         tell: &mut dyn FnMut(ListScope, &[Listed]),
+        place: &Place,
         heard: &mut bool,
     ) -> String {
         let stream = match Async::<TcpStream>::connect(addr).or(late(CONNECT)).await {
@@ -183,6 +191,7 @@
                     return e;
                 }
                 *heard = true;
+                place.heard.set(true);
                 used += end + 1;
             }
             buffer.drain(..used);
--- a/violetgate/src/client/mod.rs
+++ b/violetgate/src/client/mod.rs
@@ -2,6 +2,5 @@
 
 pub mod codec;
 pub mod fields;
-mod room;
 pub mod session;
 pub mod tables;
--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::future::{pending, poll_fn};
 use std::io::{Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
@@ -17,10 +17,11 @@
 
 use super::codec::{self, Malformed, Startup};
 use super::fields;
-use super::room::{Guest, Room, Stage};
 use crate::config::Names;
 use crate::exchange::{Answer, Exchange, Intake};
 use crate::log;
+use crate::net;
+use crate::room::{Guest, Room, Stage};
 
 /// How long a client may take over its start-up packet, and over the rest of a message that it has begun,
 /// however it trickles in: one that says half of something is owed an error or a close within 3 s.
@@ -32,13 +33,6 @@
 const STALLED: Duration = Duration::from_secs(10);
 /// Bytes read ahead while a request is open.
 const READ_AHEAD: usize = 16 * 1024;
-/// A connection that is closed for what it sent is still read for a moment, up to so many bytes: input left
-/// unread turns the close into a reset, which can destroy the error on its way.
-const DRAIN: (Duration, usize) = (Duration::from_millis(300), 256 * 1024);
-/// Connections that the machine may hold until they are accepted. The standard library's 128 are gone in one
-/// burst of clients that say nothing; the machine then drops what comes, and the usual clients among it try again
-/// only after one, three and seven seconds.
-const BACKLOG: i32 = 4096;
 /// The pause after the machine gave no connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -52,17 +46,6 @@
     waker: RefCell<Option<Waker>>,
 }
 
-/// Listens for clients.
-///
-/// # Errors
-///
-/// The machine does not give the address.
-pub fn bind(addr: SocketAddr) -> std::io::Result<Async<TcpListener>> {
-    let listener = TcpListener::bind(addr)?;
-    rustix::net::listen(&listener, BACKLOG)?;
-    Async::new(listener)
-}
-
 /// All client connections.
 pub struct Sessions {
     executor: Rc<LocalExecutor<'static>>,
@@ -72,6 +55,8 @@
     rng: RefCell<ChaCha8Rng>,
     keys: RefCell<HashMap<u32, Rc<Key>>>,
     busy: Cell<usize>,
+    /// Connections end once they are answered, for this reason.
+    ending: Cell<Option<Reason>>,
 }
 
 impl Sessions {
@@ -92,9 +77,28 @@
             rng: RefCell::new(rng),
             keys: RefCell::default(),
             busy: Cell::new(0),
+            ending: Cell::new(None),
         })
     }
 
+    /// Connections that are open.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.room.len()
+    }
+
+    /// Changes how many connections there may be.
+    pub fn resize(&self, most: usize) {
+        self.room.resize(most, self.intake.now());
+    }
+
+    /// From now on a connection ends once it is answered; to be said again for those that are idle by then.
+    /// None ends with a request read, or half read.
+    pub fn send_home(&self, reason: Reason) {
+        self.ending.set(Some(reason));
+        self.room.dismiss_idle(self.intake.now(), reason);
+    }
+
     /// Requests read whole whose answer is not yet written.
     #[must_use]
     pub fn busy(&self) -> usize {
@@ -102,15 +106,10 @@
     }
 
     /// Takes connections for ever.
-    pub async fn listen(self: Rc<Self>, listener: Async<TcpListener>) {
+    pub async fn listen(self: Rc<Self>, listener: Rc<Async<TcpListener>>) {
         loop {
             match listener.accept().await {
-                Ok((stream, peer)) => match self.room.enter(self.intake.now()) {
-                    Some(guest) => {
-                        self.executor.spawn(Rc::clone(&self).drive(stream, peer, guest)).detach();
-                    }
-                    None => turn_away(&stream, peer),
-                },
+                Ok((stream, peer)) => self.welcome(stream, peer),
                 Err(e) => {
                     log::line(format_args!("client accept failed: {e}"));
                     Timer::after(ACCEPT_PAUSE).await;
@@ -121,6 +120,24 @@
         }
     }
 
+    /// Closes the listener. What the machine holds for it is taken in the same turn: it would be reset with it,
+    /// and its requests turned back unheard.
+    pub fn shut(self: &Rc<Self>, listener: Rc<Async<TcpListener>>) {
+        while let Ok((stream, peer)) = listener.get_ref().accept() {
+            match Async::new(stream) {
+                Ok(stream) => self.welcome(stream, peer),
+                Err(e) => log::line(format_args!("client accept failed: {e}")),
+            }
+        }
+    }
+
+    fn welcome(self: &Rc<Self>, stream: Async<TcpStream>, peer: SocketAddr) {
+        match self.room.enter(self.intake.now()) {
+            Some(guest) => self.executor.spawn(Rc::clone(self).drive(stream, peer, guest)).detach(),
+            None => turn_away(&stream, peer),
+        }
+    }
+
     async fn drive(self: Rc<Self>, stream: Async<TcpStream>, peer: SocketAddr, guest: Rc<Guest>) {
         let _ = stream.get_ref().set_nodelay(true);
         let mut session = Session {
@@ -223,10 +240,7 @@
             Timer::after(STARTUP).await;
             Err("startup_timeout")
         };
-        let evicted = async {
-            guest.gives_way().await;
-            Err("evicted")
-        };
+        let evicted = async { Err(guest.gives_way().await) };
         // What has been read comes first: a request that is here already is still served.
         self.start().or(evicted).or(late).await?;
         // By when the rest of a message that has begun is due.
@@ -247,10 +261,7 @@
                         Timer::at(until).await;
                         Err(reason)
                     };
-                    let evicted = async {
-                        guest.gives_way().await;
-                        Err("evicted")
-                    };
+                    let evicted = async { Err(guest.gives_way().await) };
                     self.read().or(evicted).or(late).await?;
                     continue;
                 }
@@ -268,6 +279,9 @@
                         continue;
                     }
                     self.query(&sql).await?;
+                    if let Some(reason) = self.sessions.ending.get().filter(|_| self.input.is_empty()) {
+                        return Err(reason);
+                    }
                     future::yield_now().await;
                     continue;
                 }
@@ -334,20 +348,7 @@
     async fn break_off(&mut self, e: Malformed) -> Result<std::convert::Infallible, Reason> {
         codec::error(&mut self.output, "FATAL", "08P01", e.0, None);
         self.write().await?;
-        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
-        let (mut chunk, mut left) = ([0u8; 4096], DRAIN.1);
-        let drain = async {
-            while left > 0 {
-                match self.stream.read_with(|mut s| s.read(&mut chunk)).await {
-                    Ok(n) if n > 0 => left = left.saturating_sub(n),
-                    _ => break,
-                }
-            }
-        };
-        let late = async {
-            Timer::after(DRAIN.0).await;
-        };
-        drain.or(late).await;
+        net::linger(&self.stream).await;
         Err("protocol_violation")
     }
 
@@ -472,21 +473,3 @@
         Ok(())
     }
 }
-
-#[cfg(test)]
-#[allow(clippy::unwrap_used)]
-mod tests {
-    use super::*;
-
-    /// A burst of connections waits for the listener, as far as the machine lets it, and none is dropped.
-    #[test]
-    fn a_burst_of_connections_finds_room() {
-        let listener = bind(([127, 0, 0, 1], 0).into()).unwrap();
-        let addr = listener.get_ref().local_addr().unwrap();
-        let most = std::fs::read_to_string("/proc/sys/net/core/somaxconn").unwrap_or_default();
-        let burst = most.trim().parse().unwrap_or(300).min(300);
-        let connect = |_| TcpStream::connect_timeout(&addr, Duration::from_millis(900)).unwrap();
-        let open: Vec<_> = (0..burst).map(connect).collect();
-        assert_eq!(open.len(), burst);
-    }
-}
--- a/violetgate/src/config.rs
+++ b/violetgate/src/config.rs
@@ -14,6 +14,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call, if anywhere.
+    pub management: Option<SocketAddr>,
     /// For random numbers.
     pub seed: u64,
     /// File descriptors that this process may hold.
@@ -61,6 +63,7 @@
     #[serde(default)]
     name: String,
     listen: Option<String>,
+    management: Option<String>,
     seed: String,
     #[serde(default)]
     limits: Limits,
@@ -125,16 +128,22 @@
         let path = std::env::var("PROXY_CONFIG").map_err(|e| format!("PROXY_CONFIG: {e}"))?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("PROXY_CONFIG {path}: {e}"))?;
         let listen = std::env::var("PROXY_LISTEN").ok();
+        let management = std::env::var("PROXY_MANAGEMENT").ok();
         let name = std::env::var("PROXY_NAME").ok();
-        Self::parse(&text, listen, name).map_err(|e| format!("PROXY_CONFIG {path}: {e}"))
+        Self::parse(&text, listen, management, name).map_err(|e| format!("PROXY_CONFIG {path}: {e}"))
     }
 
-    /// Reads the file's text; the environment's address and name come before its own.
+    /// Reads the file's text; the environment's addresses and name come before its own.
     ///
     /// # Errors
     ///
     /// Something is missing or can't be used; the text says what.
-    pub fn parse(text: &str, listen: Option<String>, name: Option<String>) -> Result<Self, String> {
+    pub fn parse(
+        text: &str,
+        listen: Option<String>,
+        management: Option<String>,
+        name: Option<String>,
+    ) -> Result<Self, String> {
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let addr = |what: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|e| format!("`{what}`: {text:?}: {e}"))
@@ -156,6 +165,11 @@
         Ok(Config {
             name: name.unwrap_or(file.name),
             listen: addr("listen", &listen)?,
+            management: management
+                .or(file.management)
+                .filter(|a| !a.is_empty())
+                .map(|a| addr("management", &a))
+                .transpose()?,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("`seed`: {e}"))?,
             sockets: file.limits.sockets.unwrap_or(1024),
             bus: addr("bus", &file.bus)?,
--- a/violetgate/src/engine/pool.rs
+++ b/violetgate/src/engine/pool.rs
@@ -36,7 +36,7 @@
     clock: Clock,
     link: Link,
     /// How many connections there may be.
-    most: usize,
+    most: Cell<usize>,
     reports: RefCell<Option<Weak<dyn Reports>>>,
     listed: RefCell<BTreeMap<EngineId, Listed>>,
     conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
@@ -54,7 +54,7 @@
             executor,
             clock,
             link,
-            most,
+            most: Cell::new(most),
             reports: RefCell::default(),
             listed: RefCell::default(),
             conns: RefCell::default(),
@@ -68,6 +68,15 @@
         *self.reports.borrow_mut() = Some(reports);
     }
 
+    /// Changes how many connections there may be. Where there are more, idle ones end, longest idle first.
+    pub fn resize(&self, most: usize) {
+        self.most.set(most);
+        let mut idle: Vec<_> = self.conns.borrow().values().filter(|c| c.load() == 0).cloned().collect();
+        idle.sort_by_key(|c| c.idle_since.get());
+        let excess = self.conns.borrow().len().saturating_sub(most);
+        idle.iter().take(excess).for_each(|c| self.end(c, "evicted"));
+    }
+
     /// Closes, for ever, connections that an engine would soon close for being idle, so that no request
     /// crosses its close, and those retired that carry nothing any more.
     pub async fn sweep(&self) {
@@ -153,7 +162,7 @@
         {
             return Some(Rc::clone(conn));
         }
-        if conns.len() >= self.most {
+        if conns.len() >= self.most.get() {
             if let Some(conn) = conns.values().filter(fits).min_by_key(|c| c.load()) {
                 return Some(Rc::clone(conn));
             }
--- a/violetgate/src/client/room.rs
+++ b/violetgate/src/room.rs
@@ -1,4 +1,4 @@
-//! The room for client connections: how many there may be, and which gives way when there are more.
+//! The room for connections that come in: how many there may be, and which gives way when there are more.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -11,6 +11,8 @@
 /// A connection that has said nothing whole for this long is taken as mute: one that has just come up is
 /// about to speak, and must not give way to the next.
 const MUTE: Micros = 250_000;
+/// A connection that became idle less long ago is left alone when idle ones are dismissed.
+const FRESH: Micros = 50_000;
 
 /// What a connection is at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -27,7 +29,7 @@
 pub struct Guest {
     id: u64,
     at: Cell<(Stage, Micros)>,
-    leaves: Cell<bool>,
+    leaves: Cell<Option<&'static str>>,
     waker: RefCell<Option<Waker>>,
 }
 
@@ -39,22 +41,28 @@
         }
     }
 
-    /// Waits until it has to give way to another.
-    pub async fn gives_way(&self) {
+    /// Waits until it has to give way; the reason why.
+    pub async fn gives_way(&self) -> &'static str {
         poll_fn(|cx| {
-            if self.leaves.get() {
-                return Poll::Ready(());
+            if let Some(reason) = self.leaves.get() {
+                return Poll::Ready(reason);
             }
             *self.waker.borrow_mut() = Some(cx.waker().clone());
             Poll::Pending
         })
-        .await;
+        .await
+    }
+
+    /// Tells it to give way. What it has sent by then is still read and answered.
+    fn leave(&self, reason: &'static str) {
+        self.leaves.set(Some(reason));
+        self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
     }
 }
 
 /// All connections that count.
 pub struct Room {
-    most: usize,
+    most: Cell<usize>,
     next: Cell<u64>,
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
 }
@@ -63,7 +71,7 @@
     /// Creates room for `most` connections.
     #[must_use]
     pub fn new(most: usize) -> Self {
-        Room { most, next: Cell::new(0), guests: RefCell::default() }
+        Room { most: Cell::new(most), next: Cell::new(0), guests: RefCell::default() }
     }
 
     /// Lets a connection in. In a full room another gives way: a mute one first, then the one idle longest,
@@ -72,29 +80,49 @@
     /// Guards against clients that connect and say nothing, or ask once and stay for good: left in the
     /// machine's queue instead, the usual clients' requests would count as taken and never be read.
     pub fn enter(&self, now: Micros) -> Option<Rc<Guest>> {
-        let mut guests = self.guests.borrow_mut();
-        if guests.len() >= self.most {
-            let rank = |g: &Guest| match g.at.get() {
-                (Stage::Mute, since) if now >= since + MUTE => Some((0, since)),
-                (Stage::Idle, since) => Some((1, since)),
-                (Stage::Mute, since) => Some((2, since)),
-                (Stage::Busy, _) => None,
-            };
-            let first = guests.values().filter_map(|g| Some((rank(g)?, g.id))).min()?;
-            if let Some(guest) = guests.remove(&first.1) {
-                // What it has sent by then is still read and answered.
-                guest.leaves.set(true);
-                guest.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
-            }
+        if self.len() >= self.most.get() && !self.evict(now) {
+            return None;
         }
         let id = self.next.get();
         self.next.set(id + 1);
         let at = Cell::new((Stage::Mute, now));
-        let guest = Rc::new(Guest { id, at, leaves: Cell::new(false), waker: RefCell::default() });
-        guests.insert(id, Rc::clone(&guest));
+        let guest = Rc::new(Guest { id, at, leaves: Cell::new(None), waker: RefCell::default() });
+        self.guests.borrow_mut().insert(id, Rc::clone(&guest));
         Some(guest)
     }
 
+    /// Lets the first to give way go. False: all are busy.
+    fn evict(&self, now: Micros) -> bool {
+        let mut guests = self.guests.borrow_mut();
+        let rank = |g: &Guest| match g.at.get() {
+            (Stage::Mute, since) if now >= since + MUTE => Some((0, since)),
+            (Stage::Idle, since) => Some((1, since)),
+            (Stage::Mute, since) => Some((2, since)),
+            (Stage::Busy, _) => None,
+        };
+        let first = guests.values().filter_map(|g| Some((rank(g)?, g.id))).min();
+        let first = first.and_then(|(_, id)| guests.remove(&id));
+        first.inspect(|g| g.leave("evicted")).is_some()
+    }
+
+    /// Lets all that are idle go, but for those that became so just now: a new connection's first request may
+    /// be on its way.
+    pub fn dismiss_idle(&self, now: Micros, reason: &'static str) {
+        let idle = |g: &&Rc<Guest>| matches!(g.at.get(), (Stage::Idle, since) if now >= since + FRESH);
+        self.guests.borrow().values().filter(idle).for_each(|g| g.leave(reason));
+    }
+
+    /// Changes how many there may be. Where there are more, those that can give way do so at once.
+    pub fn resize(&self, most: usize, now: Micros) {
+        self.most.set(most);
+        while self.len() > most && self.evict(now) {}
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.guests.borrow().len()
+    }
+
     /// Frees the place of a connection that has ended.
     pub fn leave(&self, guest: &Guest) {
         self.guests.borrow_mut().remove(&guest.id);
@@ -114,16 +142,16 @@
         let stages = [Stage::Idle, Stage::Busy, Stage::Mute, Stage::Idle];
         let guests: Vec<_> = (0..).zip(stages).map(|(at, s)| (room.enter(at).unwrap(), s, at)).collect();
         guests.iter().for_each(|(g, s, at)| g.is(*s, 10 - at));
-        let gone = || guests.iter().map(|(g, ..)| g.leaves.get()).collect::<Vec<_>>();
+        let gone = || guests.iter().map(|(g, ..)| g.leaves.get().is_some()).collect::<Vec<_>>();
         let young = room.enter(2 + MUTE).unwrap();
         assert_eq!(gone(), [false, false, true, false]);
         room.enter(2 + MUTE).unwrap().is(Stage::Busy, 0);
         assert_eq!(gone(), [false, false, true, true]);
         room.enter(2 + MUTE).unwrap().is(Stage::Busy, 0);
         assert_eq!(gone(), [true, false, true, true]);
-        assert!(!young.leaves.get());
+        assert!(young.leaves.get().is_none());
         room.enter(2 + MUTE).unwrap().is(Stage::Busy, 0);
-        assert!(young.leaves.get());
+        assert!(young.leaves.get().is_some());
         assert!(room.enter(2 + MUTE).is_none(), "all that are left are busy");
         room.leave(&guests[1].0);
         assert!(room.enter(2 + MUTE).is_some());
--- a/violetgate/tests/play.rs
+++ b/violetgate/tests/play.rs
@@ -52,6 +52,10 @@
 
 struct Player {
     child: Child,
+    /// The process that `child` was started beside.
+    old: Option<Child>,
+    /// Where operators call.
+    management: String,
     folder: PathBuf,
     config: String,
     listen: String,
@@ -66,12 +70,39 @@
 
 impl Drop for Player {
     fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        for child in [&mut self.child].into_iter().chain(&mut self.old) {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
 
+/// Connects as soon as somebody listens.
+fn connect(addr: &str) -> TcpStream {
+    let until = Instant::now() + WAIT;
+    loop {
+        match TcpStream::connect(addr) {
+            Ok(stream) => return stream,
+            Err(e) => assert!(Instant::now() < until, "{e}"),
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Starts a process over a folder that holds its configuration, with a management address of its own.
+fn spawn(folder: &Path, listen: &str) -> (Child, String) {
+    let management = free().local_addr().unwrap().to_string();
+    let child = program(&folder.join("config.json"))
+        .env("PROXY_LISTEN", listen)
+        .env("PROXY_MANAGEMENT", &management)
+        .env("TMPDIR", folder)
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    (child, management)
+}
+
 fn free() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").unwrap()
 }
@@ -104,9 +135,51 @@
         let path = folder.join("config.json");
         std::fs::write(&path, &config).unwrap();
         let bus = Bus::start(bus, 1);
-        let child = program(&path).env("PROXY_LISTEN", &listen).stderr(Stdio::null()).spawn().unwrap();
+        let (child, management) = spawn(&folder, &listen);
         let (peers, transcript, key) = (HashMap::new(), String::new(), String::new());
-        Player { child, folder, config, listen, bus, listeners, peers, transcript, key }
+        Player {
+            child,
+            old: None,
+            management,
+            folder,
+            config,
+            listen,
+            bus,
+            listeners,
+            peers,
+            transcript,
+            key,
+        }
+    }
+
+    /// One call to the management of the latest process: its status line and its body.
+    fn call(&mut self, text: &str) -> (String, String) {
+        let (head, body) =
+            text.split_once(" {").map_or((text, String::new()), |(h, b)| (h, format!("{{{b}")));
+        let mut stream = connect(&self.management);
+        let length = body.len();
+        write!(stream, "{head} HTTP/1.1\r\nHost: a\r\nContent-Length: {length}\r\n\r\n{body}").unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+        (head.lines().next().unwrap().to_owned(), body.to_owned())
+    }
+
+    /// Waits until the latest process says that it can serve.
+    fn healthy(&mut self) {
+        let until = Instant::now() + WAIT;
+        while !self.call("GET /admin/health").0.contains(" 200 ") {
+            assert!(Instant::now() < until, "the process is not healthy");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn process(&mut self, who: &str) -> &mut Child {
+        if who == "old" {
+            self.old.as_mut().expect("no upgrade")
+        } else {
+            &mut self.child
+        }
     }
 
     fn note(&mut self, who: &str, what: &str) {
@@ -126,14 +199,7 @@
 
     /// Connects a client, once the program listens.
     fn open(&mut self, who: &str) {
-        let until = Instant::now() + WAIT;
-        let stream = loop {
-            match TcpStream::connect(&self.listen) {
-                Ok(stream) => break stream,
-                Err(e) => assert!(Instant::now() < until, "{e}"),
-            }
-            std::thread::sleep(Duration::from_millis(20));
-        };
+        let stream = connect(&self.listen);
         self.add(who, stream, None);
     }
 
@@ -247,15 +313,32 @@
                 std::mem::forget(std::mem::replace(&mut self.bus, Bus::start(place, last)));
             }
             ("program", "config") => std::fs::write(self.folder.join("config.json"), text).unwrap(),
-            ("program", "term" | "hup") => {
-                let pid = self.child.id().to_string();
+            // A second process beside the first, which is `old` from then on; until it says yes.
+            ("program", "upgrade") => {
+                let (child, management) = spawn(&self.folder, &self.listen);
+                self.old = Some(std::mem::replace(&mut self.child, child));
+                self.management = management;
+                self.healthy();
+            }
+            ("operator", "ready") => self.healthy(),
+            ("operator", "call") => {
+                let (status, body) = self.call(text);
+                self.note(who, &format!("< {status} {}", body.escape_default()));
+            }
+            // A connection to management, for what `call` can't say.
+            (_, "manage") => {
+                let stream = connect(&self.management);
+                self.add(who, stream, None);
+            }
+            ("program" | "old", "term" | "hup") => {
+                let pid = self.process(who).id().to_string();
                 let signal = format!("-{}", verb.to_uppercase());
                 assert!(Command::new("kill").args([&signal, &pid]).status().unwrap().success());
             }
-            ("program", "exit") => {
+            ("program" | "old", "exit") => {
                 let until = Instant::now() + WAIT;
                 let status = loop {
-                    match self.child.try_wait().unwrap() {
+                    match self.process(who).try_wait().unwrap() {
                         Some(status) => break status,
                         None => assert!(Instant::now() < until, "the program did not end"),
                     }
