Drain a front end on call, and take clients again

Now client/session.rs (Door) counts from the call: no at once, service for 1 s, then 57P03, connections end from 0.3 s. Ruled out: closing the listener, see docs/design.md. Test: exchange drain.

--- a/violetgate/src/admin/mod.rs
+++ b/violetgate/src/admin/mod.rs
@@ -33,6 +33,10 @@
 pub trait Operations {
     /// Whether this process can serve.
     fn healthy(&self) -> bool;
+    /// Drains: clients are sent elsewhere until `resume`.
+    fn quiesce(&self);
+    /// Takes clients again.
+    fn resume(&self);
 }
 
 /// The management side.
@@ -134,7 +138,17 @@
         match (call.method, call.path) {
             ("GET", "/admin/health") if self.operations.healthy() => told(Status::Ok, "ready"),
             ("GET", "/admin/health") => told(Status::ServiceUnavailable, "starting"),
-            (_, "/admin/health") => told(Status::MethodNotAllowed, "another method is served here"),
+            ("PUT", "/admin/quiesce") => {
+                self.operations.quiesce();
+                told(Status::Ok, "draining")
+            }
+            ("PUT", "/admin/resume") => {
+                self.operations.resume();
+                told(Status::Ok, "taking clients")
+            }
+            (_, "/admin/health" | "/admin/quiesce" | "/admin/resume") => {
+                told(Status::MethodNotAllowed, "another method is served here")
+            }
             _ => told(Status::NotFound, "no such path"),
         }
     }
--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -12,6 +12,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{future, FutureExt};
+use linnetreach::interface::Micros;
 use rand_chacha::rand_core::RngCore;
 use rand_chacha::ChaCha8Rng;
 
@@ -33,6 +34,13 @@
 const STALLED: Duration = Duration::from_secs(10);
 /// Bytes read ahead while a request is open.
 const READ_AHEAD: usize = 16 * 1024;
+/// Once told to drain, requests are still served for this long: the front hears of it after 0.2 s, and what it has
+/// sent by then may be on its way.
+const SERVED: Micros = 1_000_000;
+/// And connections are left open for this long, so that what comes meanwhile finds one.
+const HEARD: Micros = 300_000;
+/// How often idle connections are looked at while they have to end.
+const LOOK: Duration = Duration::from_millis(20);
 /// The pause after the machine gave no connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -55,8 +63,7 @@
     rng: RefCell<ChaCha8Rng>,
     keys: RefCell<HashMap<u32, Rc<Key>>>,
     busy: Cell<usize>,
-    /// Connections end once they are answered, for this reason.
-    ending: Cell<Option<Reason>>,
+    door: Door,
 }
 
 impl Sessions {
@@ -77,7 +84,7 @@
             rng: RefCell::new(rng),
             keys: RefCell::default(),
             busy: Cell::new(0),
-            ending: Cell::new(None),
+            door: Door::default(),
         })
     }
 
@@ -92,11 +99,31 @@
         self.room.resize(most, self.intake.now());
     }
 
-    /// From now on a connection ends once it is answered; to be said again for those that are idle by then.
-    /// None ends with a request read, or half read.
-    pub fn send_home(&self, reason: Reason) {
-        self.ending.set(Some(reason));
-        self.room.dismiss_idle(self.intake.now(), reason);
+    /// Another process takes over: connections end from now on. To be followed by `keep_door`.
+    pub fn hand_over(&self) {
+        self.door.handed_over.set(true);
+    }
+
+    /// Drains: clients are to go elsewhere. A repeat changes nothing.
+    pub fn quiesce(&self) {
+        let since = self.door.since.get().unwrap_or_else(|| self.intake.now());
+        self.door.since.set(Some(since));
+    }
+
+    /// Takes clients again.
+    pub fn resume(&self) {
+        self.door.since.set(None);
+    }
+
+    /// Sends home, for ever, the connections that are idle while they have to end.
+    pub async fn keep_door(&self) {
+        loop {
+            let now = self.intake.now();
+            if let Some(reason) = self.door.sends_home(now) {
+                self.room.dismiss_idle(now, reason);
+            }
+            Timer::after(LOOK).await;
+        }
     }
 
     /// Requests read whole whose answer is not yet written.
@@ -198,6 +225,36 @@
     log::ended("client", peer, "too_many", 0);
 }
 
+/// Whether clients are let in, and whether they may stay. None leaves with a request read, or half read.
+#[derive(Default)]
+struct Door {
+    /// Since when it drains.
+    since: Cell<Option<Micros>>,
+    handed_over: Cell<bool>,
+}
+
+impl Door {
+    /// The answer to the question whether this front end takes work is no.
+    fn is_closed(&self) -> bool {
+        self.since.get().is_some()
+    }
+
+    /// New requests are turned back. The first ones after the call are served: those who send them can't have
+    /// heard of it.
+    fn turns_back(&self, now: Micros) -> bool {
+        self.since.get().is_some_and(|since| now >= since + SERVED)
+    }
+
+    /// Why connections end once they are answered or idle, if they do.
+    fn sends_home(&self, now: Micros) -> Option<Reason> {
+        match self.since.get() {
+            _ if self.handed_over.get() => Some("handed_over"),
+            Some(since) if now >= since + HEARD => Some("drained"),
+            _ => None,
+        }
+    }
+}
+
 /// Counts a request as busy until its answer is written, whichever way that ends.
 struct Busy<'a>(&'a Cell<usize>);
 
@@ -279,7 +336,8 @@
                         continue;
                     }
                     self.query(&sql).await?;
-                    if let Some(reason) = self.sessions.ending.get().filter(|_| self.input.is_empty()) {
+                    let reason = self.sessions.door.sends_home(self.sessions.intake.now());
+                    if let Some(reason) = reason.filter(|_| self.input.is_empty()) {
                         return Err(reason);
                     }
                     future::yield_now().await;
@@ -356,6 +414,14 @@
         codec::error(&mut self.output, "ERROR", code, message, None);
     }
 
+    /// This front end takes no work: another try, elsewhere, is harmless.
+    fn closing(&mut self) {
+        let drains = self.sessions.door.is_closed();
+        let what = if drains { "this server is being drained" } else { "this server is shutting down" };
+        let hint = Some("Try again on a new connection.");
+        codec::error(&mut self.output, "ERROR", "57P03", what, hint);
+    }
+
     /// One simple query, up to its ReadyForQuery.
     async fn query(&mut self, sql: &[u8]) -> Result<(), Reason> {
         let sessions = Rc::clone(self.sessions);
@@ -363,10 +429,15 @@
         self.guest.is(Stage::Busy, self.read_at);
         self.requests += 1;
         if fields::is_empty(sql) {
-            codec::empty(&mut self.output);
+            if sessions.door.is_closed() {
+                self.closing();
+            } else {
+                codec::empty(&mut self.output);
+            }
         } else {
             match fields::request(sql, &sessions.names, self.read_at) {
                 Err(what) => self.fail("22023", &what),
+                Ok(_) if sessions.door.turns_back(self.read_at) => self.closing(),
                 Ok(request) => {
                     let exchange = Exchange::new(request);
                     if let Some((_, key)) = &self.key {
@@ -433,10 +504,7 @@
                 let hint = (retry_after > 0).then_some(hint.as_str());
                 codec::error(&mut self.output, "ERROR", "53000", "too busy to serve this query", hint);
             }
-            Some(Answer::Closing) => {
-                let hint = Some("Try again on a new connection.");
-                codec::error(&mut self.output, "ERROR", "57P03", "this server is shutting down", hint);
-            }
+            Some(Answer::Closing) => self.closing(),
             Some(Answer::Failed) => self.fail("58000", "the query failed; it may have had its effect"),
             None => self.fail("57014", "canceling statement due to user request"),
         }
--- a/violetgate/src/main.rs
+++ b/violetgate/src/main.rs
@@ -169,9 +169,11 @@
     let presence = Rc::new(presence);
     let (beside, shared, sockets) = (Rc::clone(&presence), Rc::clone(&sessions), config.sockets);
     executor.spawn(async move { keep_share(&beside, sockets, &shared, &pool).await }).detach();
+    let door = Rc::clone(&sessions);
+    executor.spawn(async move { door.keep_door().await }).detach();
     let accepting = executor.spawn(Rc::clone(&sessions).listen(Rc::clone(&listener)));
     if let Some(management) = management {
-        let operations = Rc::new(Operations::new(clock, Rc::clone(&place)));
+        let operations = Rc::new(Operations::new(clock, Rc::clone(&place), Rc::clone(&sessions)));
         executor.spawn(Admin::new(Rc::clone(&executor), clock, operations).listen(management)).detach();
     }
     log::line(format_args!("violetgate {} listens on {}", config.name, config.listen));
@@ -203,12 +205,12 @@
         // Where another process listens too, it gets all that comes from now on; what has come is served here.
         accepting.cancel().await;
         sessions.shut(listener);
+        if upgrade {
+            sessions.hand_over();
+        }
         let leave = longest.min(if upgrade { UPGRADE } else { RESTART }) + SPARE - MARGIN;
         let mut closed = false;
         loop {
-            if upgrade {
-                sessions.send_home("handed_over");
-            }
             if if upgrade { sessions.len() } else { sessions.busy() } == 0 {
                 break;
             }
--- a/violetgate/tests/play.rs
+++ b/violetgate/tests/play.rs
@@ -346,6 +346,7 @@
                 };
                 self.note(who, &format!("exit {:?}", status.code()));
             }
+            ("sleep", _) => std::thread::sleep(Duration::from_millis(rest.parse().unwrap())),
             (_, "open") => self.open(who),
             (_, "accept") => self.accept(who),
             (_, "say") => self.send(who, &unescape(&text.replace("@KEY@", &self.key))),
