Take engines out by call: a ban that outlasts the list and an upgrade

Cause: main.rs Share gave each process 9/32 of the descriptors for clients; usual clients hold up to a third, and in a full room the only ones that are not busy are those that have just come.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -312,6 +312,13 @@
         /// The lines.
         engines: Vec<Engine>,
     },
+    /// An operator's call, which holds until the opposite one, whatever the list says meanwhile.
+    Cordon {
+        /// The engine, in the list or not.
+        engine: EngineId,
+        /// Nothing more to it; else it may be used again, and has been restarted.
+        out: bool,
+    },
     /// A client's query; it is owed one final answer.
     Arrived(NewQuery),
     /// News of a running attempt.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -136,6 +136,7 @@
         for event in events {
             match event {
                 Event::Engines { scope, engines } => self.list(*scope, engines, actions),
+                Event::Cordon { engine, out } => self.cordon(*engine, *out),
                 Event::Arrived(asked) => self.arrive(asked, actions),
                 Event::Note { query, attempt, progress } => self.note(*query, *attempt, *progress, actions),
                 Event::Started { query } => self.book.stream(*query),
@@ -233,7 +234,7 @@
     /// The part of its capacity that an engine has surely reached: from the cold share up to all of it,
     /// slowly at first, since how it grows is not told.
     fn warmth(&self, n: &Node) -> f64 {
-        let (Some(start), Some(cold)) = (n.listed.started, self.s.cold) else { return 1.0 };
+        let (Some(start), Some(cold)) = (n.started(), self.s.cold) else { return 1.0 };
         let age = secs(self.now.saturating_sub(start)) / secs(cold.max(1));
         if age >= 1.0 {
             return 1.0;
@@ -242,10 +243,10 @@
         from + (1.0 - from) * age * age
     }
 
-    /// Listed as running and not ejected. Where most engines look bad, the cause is shared (or lies here),
+    /// In use and not ejected. Where most engines look bad, the cause is shared (or lies here),
     /// and ejecting would leave nobody to serve.
     fn healthy(&self, n: &Node) -> bool {
-        n.listed.state == EngineState::Ready && (!n.health.ejected || self.fleet.mostly_bad)
+        n.in_use() && (!n.health.ejected || self.fleet.mostly_bad)
     }
 
     /// What holds for the whole fleet at this moment.
@@ -256,7 +257,7 @@
             n.chance = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
             n.chance_until = self.now + first.max(1);
         }
-        let ready = || self.nodes.values().filter(|n| n.listed.state == EngineState::Ready);
+        let ready = || self.nodes.values().filter(|n| n.in_use());
         self.fleet.mostly_bad = 2 * ready().filter(|n| n.health.ejected).count() > ready().count();
         let healthy = || ready().filter(|n| self.healthy(n));
         let open = healthy().filter(|n| n.line_until <= self.now).map(|n| self.bound(n)).sum();
@@ -297,16 +298,37 @@
             let fresh = || Node::new(*e, cores, kind.memory_mb, base, share, mu);
             let mut node = self.nodes.remove(&e.id).unwrap_or_else(fresh);
             if node.listed.started != e.started {
-                // A new process: nothing learnt of the old one holds, but its attempts still end one by one.
-                let old = std::mem::replace(&mut node, fresh());
-                (node.out, node.threads, node.memory_out) = (old.out, old.threads, old.memory_out);
+                node.renew(fresh());
             }
-            node.listed = *e;
+            (node.listed, node.barred) = (*e, self.fleet.barred.contains(&e.id));
             self.nodes.insert(e.id, node);
         }
         self.survey();
     }
 
+    /// An operator's call. One who calls an engine back has restarted it: it is cold from now on, and nothing
+    /// learnt of it holds. It hurts where that was not so, as it gets little for a while.
+    fn cordon(&mut self, engine: EngineId, out: bool) {
+        let fleet = &mut self.fleet.barred;
+        let changed = if out { fleet.insert(engine) } else { fleet.remove(&engine) };
+        let (now, share, mu) = (self.now, 1.0 / self.gateways, self.mu());
+        let base = self.nodes.get(&engine).map_or(1.0, |n| self.base_bound(n.cores));
+        let Some(n) = self.nodes.get_mut(&engine).filter(|_| changed) else { return };
+        n.barred = out;
+        if !out {
+            n.renew(Node::new(n.listed, n.cores, n.memory_mb, base, share, mu));
+            (n.back, n.untried) = (Some(now), true);
+        }
+    }
+
+    /// How many engines are listed, and how many of those are avoided: called out, or ejected.
+    #[must_use]
+    pub fn listed(&self) -> (usize, usize) {
+        let listed = || self.nodes.values().filter(|n| n.listed.state != EngineState::Gone);
+        let ejected = |n: &&Node| n.listed.state == EngineState::Ready && !self.healthy(n);
+        (listed().count(), listed().filter(|n| n.barred || ejected(n)).count())
+    }
+
     fn arrive(&mut self, asked: &NewQuery, actions: &mut Vec<Action>) {
         if self.book.queries.contains_key(&asked.id) {
             return;
@@ -456,7 +478,7 @@
             return None;
         }
         let mut best: Vec<EngineId> = Vec::new();
-        let mut most = (false, f64::NEG_INFINITY, false, 0.0, 0.0);
+        let mut most = (false, false, f64::NEG_INFINITY, false, 0.0, 0.0);
         for (&e, n) in &self.nodes {
             if !self.legal(q, n) || !self.fits(q, n) {
                 continue;
@@ -471,7 +493,9 @@
             // first engine to widen takes all, from every gateway, while the others, idle, never widen.
             let base = if bound > 0.0 { self.base_bound(n.cores) * self.warmth(n) } else { 0.0 };
             let (own, lot) = if part { (0.0, (draw / 4_294_967_296.0).ln() / weight) } else { (base, 0.0) };
-            let free = (q.avoid != Some(e), own - self.ahead(q, &n.threads), near, self.ease(n), lot);
+            // One called back looks the least free while it is cold: it is tried at once, by a short query.
+            let first = n.untried && n.out.is_empty() && self.repeatable(q) && q.work <= self.fleet.work.mean;
+            let free = (q.avoid != Some(e), first, own - self.ahead(q, &n.threads), near, self.ease(n), lot);
             if free > most {
                 most = free;
                 best.clear();
@@ -556,7 +580,7 @@
         !q.finished
             && q.out.is_none()
             && self.now < q.deadline
-            && n.listed.state == EngineState::Ready
+            && n.in_use()
             && placed
             && self.may_repeat(q)
             && self.in_group(q, &n.listed)
@@ -826,7 +850,7 @@
         let (threads, slot, told, now) = (q.threads, q.slot, self.s.reports_utilisation, self.now);
         self.paced(a.engine, a.priority, work / time, PACE_GAIN);
         let Some(n) = self.nodes.get_mut(&a.engine) else { return };
-        n.heard = now;
+        (n.heard, n.untried) = (now, false);
         if n.memory_out > IN_USE * n.memory_share * n.memory_mb.unwrap_or(f64::MAX) && n.line_until <= now {
             n.memory_share = (n.memory_share + SHARE_STEP).min(1.0);
         }
@@ -1063,7 +1087,7 @@
         }
         self.book.probe_at = self.now + self.periods(PROBE_EVERY);
         // Where queries are few against engines, probes are rationed and fall on engines at random.
-        let ready = self.nodes.iter().filter(|(_, n)| n.listed.state == EngineState::Ready);
+        let ready = self.nodes.iter().filter(|(_, n)| n.in_use());
         let ready: Vec<EngineId> = ready.map(|(e, _)| *e).collect();
         let credit = (self.book.seq - self.book.probed_seq) as f64 * PROBES_A_QUERY;
         self.book.probed_seq = self.book.seq;
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::interface::{Engine, EngineId, Micros, NewQuery, QueryId};
+use crate::interface::{Engine, EngineId, EngineState, Micros, NewQuery, QueryId};
 
 /// Microseconds as seconds.
 pub(crate) fn secs(t: Micros) -> f64 {
@@ -131,6 +131,11 @@
     /// Drawn once a span while the engine is cold.
     pub chance: f64,
     pub chance_until: Micros,
+    /// An operator has called it out.
+    pub barred: bool,
+    /// When an operator called it back; it has not answered since.
+    pub back: Option<Micros>,
+    pub untried: bool,
 }
 
 impl Node {
@@ -161,9 +166,30 @@
             cold_sent: VecDeque::new(),
             chance: 1.0,
             chance_until: 0,
+            barred: false,
+            back: None,
+            untried: false,
         }
     }
 
+    /// A new process: nothing learnt of the old one holds, but its attempts still end one by one, and what
+    /// operators called for does.
+    pub fn renew(&mut self, fresh: Node) {
+        let old = std::mem::replace(self, fresh);
+        (self.out, self.threads, self.memory_out) = (old.out, old.threads, old.memory_out);
+        (self.barred, self.back, self.untried) = (old.barred, old.back, old.untried);
+    }
+
+    /// Listed as running, and not called out.
+    pub fn in_use(&self) -> bool {
+        self.listed.state == EngineState::Ready && !self.barred
+    }
+
+    /// When its process started, as far as is known.
+    pub fn started(&self) -> Option<Micros> {
+        self.listed.started.max(self.back)
+    }
+
     pub fn held_threads(&self) -> f64 {
         self.threads.iter().sum()
     }
@@ -188,6 +214,8 @@
 /// What was learnt of the fleet as a whole.
 #[derive(Debug, Default)]
 pub(crate) struct Fleet {
+    /// Engines that operators have called out, in the list or not.
+    pub barred: BTreeSet<EngineId>,
     /// Moving sums of work done and of the thread-seconds that it took.
     pub mu_work: f64,
     pub mu_time: f64,
--- a/violetgate/src/admin/mod.rs
+++ b/violetgate/src/admin/mod.rs
@@ -12,6 +12,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{future, FutureExt};
+use serde::Deserialize;
 
 use crate::clock::Clock;
 use crate::log;
@@ -29,10 +30,23 @@
 /// The pause after the machine gave no connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
+const PATHS: [&str; 5] =
+    ["/admin/health", "/admin/cordon", "/admin/uncordon", "/admin/quiesce", "/admin/resume"];
+
+/// The engine that a call names.
+#[derive(Deserialize)]
+struct Target {
+    host: String,
+}
+
 /// What operators may ask of the program.
 pub trait Operations {
     /// Whether this process can serve.
     fn healthy(&self) -> bool;
+    /// Nothing more to an engine, until the call back. False: nobody has that name.
+    fn cordon(&self, host: &str) -> bool;
+    /// Uses an engine again. False: nobody has that name.
+    fn uncordon(&self, host: &str) -> bool;
     /// Drains: clients are sent elsewhere until `resume`.
     fn quiesce(&self);
     /// Takes clients again.
@@ -134,10 +148,11 @@
     }
 
     fn answer(&self, call: &Call<'_>) -> (Status, String) {
-        let told = |status, text: &str| (status, format!("{text}\n"));
         match (call.method, call.path) {
             ("GET", "/admin/health") if self.operations.healthy() => told(Status::Ok, "ready"),
             ("GET", "/admin/health") => told(Status::ServiceUnavailable, "starting"),
+            ("PUT", "/admin/cordon") => host(call, |host| self.operations.cordon(host)),
+            ("PUT", "/admin/uncordon") => host(call, |host| self.operations.uncordon(host)),
             ("PUT", "/admin/quiesce") => {
                 self.operations.quiesce();
                 told(Status::Ok, "draining")
@@ -146,7 +161,7 @@
                 self.operations.resume();
                 told(Status::Ok, "taking clients")
             }
-            (_, "/admin/health" | "/admin/quiesce" | "/admin/resume") => {
+            (_, path) if PATHS.contains(&path) => {
                 told(Status::MethodNotAllowed, "another method is served here")
             }
             _ => told(Status::NotFound, "no such path"),
@@ -154,6 +169,19 @@
     }
 }
 
+fn told(status: Status, text: &str) -> (Status, String) {
+    (status, format!("{text}\n"))
+}
+
+/// A call that names an engine.
+fn host(call: &Call<'_>, carry_out: impl Fn(&str) -> bool) -> (Status, String) {
+    match serde_json::from_slice(call.body) {
+        Ok(Target { host }) if carry_out(&host) => told(Status::Ok, &host),
+        Ok(Target { host }) => told(Status::NotFound, &format!("no engine {host:?}")),
+        Err(e) => told(Status::BadRequest, &format!("the body is no {{\"host\":\"ID\"}}: {e}")),
+    }
+}
+
 /// Writes the answer and closes.
 async fn respond(stream: &Async<TcpStream>, output: &[u8]) -> &'static str {
     let late = async {
--- a/violetgate/src/bus.rs
+++ b/violetgate/src/bus.rs
@@ -5,6 +5,7 @@
 use std::future::poll_fn;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
 use std::task::{Poll, Waker};
 use std::time::Duration;
 
@@ -104,18 +105,37 @@
     }
 }
 
+/// The numbers by which the program knows engines, by the names that others use. A number stays with its name.
+#[derive(Default)]
+pub struct Ids(RefCell<HashMap<String, EngineId>>);
+
+impl Ids {
+    /// The number of an engine, in the list or not.
+    pub fn number(&self, name: &str) -> EngineId {
+        let mut ids = self.0.borrow_mut();
+        let fresh = ids.len() as EngineId;
+        ids.get(name).copied().unwrap_or_else(|| *ids.entry(name.to_owned()).or_insert(fresh))
+    }
+
+    /// Whether anybody has ever had this name.
+    #[must_use]
+    pub fn known(&self, name: &str) -> bool {
+        self.0.borrow().contains_key(name)
+    }
+}
+
 /// What is known of the engine list, and up to which number.
 pub struct Bus {
     names: Names,
     last: u64,
-    ids: HashMap<String, EngineId>,
+    ids: Rc<Ids>,
 }
 
 impl Bus {
     /// Creates a follower that knows nothing yet.
     #[must_use]
-    pub fn new(names: Names) -> Self {
-        Bus { names, last: 0, ids: HashMap::new() }
+    pub fn new(names: Names, ids: Rc<Ids>) -> Self {
+        Bus { names, last: 0, ids }
     }
 
     /// Takes the events of the start, and their last number.
@@ -227,9 +247,8 @@
         let mut listed = Vec::new();
         for s in topology.servers {
             let addr = s.addr.parse().map_err(|e| format!("addr {:?}: {e}", s.addr))?;
-            let fresh = self.ids.len() as EngineId;
             let engine = Engine {
-                id: *self.ids.entry(s.id).or_insert(fresh),
+                id: self.ids.number(&s.id),
                 zone: place(&self.names.zones, &s.zone),
                 kind: place(&self.names.kinds, &s.kind),
                 cell: s.cell,
--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -109,6 +109,13 @@
         self.run();
     }
 
+    /// Takes an operator's call: nothing more to an engine, or again.
+    pub fn cordon(&self, engine: EngineId, out: bool) {
+        self.events.borrow_mut().push_back(Event::Cordon { engine, out });
+        self.engines.cordon(engine, out);
+        self.run();
+    }
+
     /// Gives every request still open its answer, as the process ends: a refusal where the class lets it
     /// be repeated, else a failure.
     pub fn close(&self) {
@@ -351,6 +358,9 @@
         fn weigh(&self, query: QueryId, level: u8) {
             self.0.borrow_mut().push(format!("weigh {query} {level}"));
         }
+        fn cordon(&self, engine: EngineId, out: bool) {
+            self.0.borrow_mut().push(format!("cordon {engine} {out}"));
+        }
         fn list(&self, _: ListScope, engines: &[Listed]) {
             self.0.borrow_mut().push(format!("list {}", engines.len()));
         }
--- a/violetgate/src/engine/pool.rs
+++ b/violetgate/src/engine/pool.rs
@@ -2,7 +2,7 @@
 //! connection never does.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::future::pending;
 use std::net::TcpStream;
 use std::rc::{Rc, Weak};
@@ -39,6 +39,8 @@
     most: Cell<usize>,
     reports: RefCell<Option<Weak<dyn Reports>>>,
     listed: RefCell<BTreeMap<EngineId, Listed>>,
+    /// Engines that get nothing, whatever the list says.
+    barred: RefCell<BTreeSet<EngineId>>,
     conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
     /// Where the attempt of a query is out.
     at: RefCell<HashMap<QueryId, Rc<Conn>>>,
@@ -57,6 +59,7 @@
             most: Cell::new(most),
             reports: RefCell::default(),
             listed: RefCell::default(),
+            barred: RefCell::default(),
             conns: RefCell::default(),
             at: RefCell::default(),
             next: Cell::new(0),
@@ -175,13 +178,14 @@
         self.open(listed)
     }
 
-    /// Puts an attempt on a connection, unless its engine has left the list meanwhile.
+    /// Puts an attempt on a connection, unless its engine has left the list meanwhile or was called out.
     fn place(&self, attempt: Attempt, tries: u32) {
         let query = attempt.exchange.request.query.id;
         let number = attempt.number;
         let never = |outcome| vec![(query, number, outcome, None, Pages::new())];
         let listed = self.listed.borrow().get(&attempt.engine).cloned();
-        let Some(listed) = listed.filter(|l| l.engine.state == EngineState::Ready) else {
+        let barred = self.barred.borrow().contains(&attempt.engine);
+        let Some(listed) = listed.filter(|l| l.engine.state == EngineState::Ready && !barred) else {
             return self.report(never(Outcome::Superseded));
         };
         let trail = attempt.exchange.trail.borrow().clone();
@@ -284,6 +288,26 @@
         }
     }
 
+    fn cordon(&self, engine: EngineId, out: bool) {
+        if out {
+            self.barred.borrow_mut().insert(engine);
+        } else {
+            self.barred.borrow_mut().remove(&engine);
+        }
+        let all: Vec<_> = self.conns.borrow().values().filter(|c| c.engine == engine).cloned().collect();
+        for conn in all {
+            if out {
+                self.report(conn.take_unwritten());
+            } else {
+                // Its process is a new one: what is open leads to the old one.
+                conn.retired.set(true);
+                if conn.load() == 0 {
+                    self.end(&conn, "retired");
+                }
+            }
+        }
+    }
+
     fn list(&self, scope: ListScope, engines: &[Listed]) {
         let mut listed = self.listed.borrow_mut();
         if matches!(scope, ListScope::Whole | ListScope::Stale) {
@@ -368,6 +392,21 @@
         assert_eq!(loads, [2, 2, 1]);
     }
 
+    /// What an engine that is called out has not been written yet is taken back, and nothing more is put on its
+    /// connections; called back, it gets a new one.
+    #[test]
+    fn an_engine_called_out_gets_nothing() {
+        let (pool, ends) = pool(3);
+        send(&pool, 1);
+        pool.cordon(0, true);
+        send(&pool, 2);
+        assert_eq!(ends.0.take(), [(1, Outcome::Superseded), (2, Outcome::Superseded)]);
+        pool.cordon(0, false);
+        send(&pool, 3);
+        let loads: Vec<_> = pool.conns.borrow().values().map(|c| (c.id, c.load())).collect();
+        assert_eq!(loads, [(1, 1)]);
+    }
+
     /// A connection that is reset before anything was written is no attempt: the next one takes it, a few
     /// times. One that is refused is: the engine does not run.
     #[test]
--- a/violetgate/src/exchange.rs
+++ b/violetgate/src/exchange.rs
@@ -168,6 +168,9 @@
     fn cancel(&self, query: QueryId) -> bool;
     /// Sets the priority of an attempt that is out.
     fn weigh(&self, query: QueryId, level: u8);
+    /// Nothing more to an engine; attempts not yet written to it end as never sent. Or it may be used again, and
+    /// old connections may not.
+    fn cordon(&self, engine: EngineId, out: bool);
     /// News of the list. Attempts not yet written to an engine that wants no more end as never sent.
     fn list(&self, scope: ListScope, engines: &[Listed]);
 }
--- a/violetgate/src/main.rs
+++ b/violetgate/src/main.rs
@@ -14,8 +14,10 @@
 mod operations;
 mod presence;
 mod room;
+mod store;
 
-use std::path::Path;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
@@ -29,7 +31,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use admin::Admin;
-use bus::{Bus, Place};
+use bus::{Bus, Ids, Place};
 use client::session::Sessions;
 use clock::Clock;
 use config::Config;
@@ -38,6 +40,7 @@
 use exchange::{Engines, Intake, Listed, Reports};
 use operations::Operations;
 use presence::Presence;
+use store::Store;
 
 /// After SIGTERM new requests go on coming for this long.
 const STAY: Duration = Duration::from_millis(700);
@@ -73,44 +76,66 @@
 impl Share {
     /// Of the descriptors, engines get a quarter, clients a half; the rest is for the program itself, for
     /// management and for connections that are just being closed. Two processes that run beside each other
-    /// stay within one's limit together; usual clients hold a third of it at most, whichever they are with.
-    fn of(sockets: usize, beside: bool) -> Self {
-        if beside {
-            Share { clients: sockets * 9 / 32, engines: sockets / 8 }
-        } else {
-            Share { clients: sockets / 2, engines: sockets / 4 }
+    /// stay within one's limit together. Usual clients hold a third of it at most, and soon all of them are with
+    /// the new process: a room that is too small for them turns away, or cuts off, those that have just come.
+    fn of(sockets: usize, part: Part) -> Self {
+        match part {
+            Part::Alone => Share { clients: sockets / 2, engines: sockets / 4 },
+            Part::Successor => Share { clients: sockets * 3 / 8, engines: sockets / 6 },
+            Part::Predecessor => Share { clients: sockets * 3 / 16, engines: sockets / 10 },
         }
     }
 }
 
+/// What this process is at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    Alone,
+    /// It was started beside another, which is still here.
+    Successor,
+    /// Another was started beside it.
+    Predecessor,
+}
+
 /// Keeps, for ever, to the share of the limits that is this process's.
-async fn keep_share(presence: &Presence, sockets: usize, sessions: &Sessions, pool: &Pool) {
-    let mut was = false;
+async fn keep_share(presence: &Presence, mut was: Part, sockets: usize, sessions: &Sessions, pool: &Pool) {
     loop {
-        let beside = presence.other();
-        if beside != was {
-            was = beside;
-            let share = Share::of(sockets, beside);
+        Timer::after(BESIDE).await;
+        let part = match was {
+            _ if !presence.other() => Part::Alone,
+            Part::Alone => Part::Predecessor,
+            was => was,
+        };
+        if part != was {
+            was = part;
+            let share = Share::of(sockets, part);
             log::line(format_args!(
-                "violetgate {}: at most {} clients and {} engine connections",
-                if beside { "runs beside another process" } else { "runs alone" },
+                "violetgate is {}: at most {} clients and {} engine connections",
+                if part == Part::Alone { "alone" } else { "joined by another process" },
                 share.clients,
                 share.engines
             ));
             sessions.resize(share.clients);
             pool.resize(share.engines);
         }
-        Timer::after(BESIDE).await;
     }
 }
 
-/// Leaves this process's mark in `$TMPDIR`, the only place that two processes of one front end share. Fronts of
-/// other addresses may share it too.
-fn enter(config: &Config) -> Presence {
-    let Some(folder) = std::env::var_os("TMPDIR") else { return Presence::alone() };
-    let path = Path::new(&folder).join(format!("violetgate-{}.lock", config.listen));
-    Presence::enter(&path).unwrap_or_else(|e| {
-        log::line(format_args!("violetgate takes itself to be alone: {}: {e}", path.display()));
+/// A file in `$TMPDIR`, the only place that the processes of one front end share. Front ends of other addresses
+/// may share it too.
+fn shared_file(listen: &SocketAddr, what: &str) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|f| !f.is_empty())?;
+    Some(Path::new(&folder).join(format!("violetgate-{listen}.{what}")))
+}
+
+/// Leaves this process's mark beside those of others of this front end.
+fn enter(listen: &SocketAddr) -> Presence {
+    let entered = match shared_file(listen, "lock") {
+        Some(path) => Presence::enter(&path).map_err(|e| format!("{}: {e}", path.display())),
+        None => Err("TMPDIR is not set".to_owned()),
+    };
+    entered.unwrap_or_else(|e| {
+        log::line(format_args!("violetgate takes itself to be alone: {e}"));
         Presence::alone()
     })
 }
@@ -133,22 +158,24 @@
     let bind = |what: &str, addr| net::listen(addr).map_err(|e| format!("{what} {addr}: {e}"));
     let listener = Rc::new(bind("listen", config.listen)?);
     let management = config.management.map(|addr| bind("management", addr)).transpose()?;
-    let presence = enter(&config);
+    let presence = enter(&config.listen);
     let longest = config.settings.classes.iter().filter_map(|c| c.deadline).max();
     let longest = Duration::from_micros(longest.unwrap_or(0));
     let mut signals =
         Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"))?;
     let executor = Rc::new(LocalExecutor::new());
 
-    let alone = Share::of(config.sockets, false);
-    let pool = Pool::new(Rc::clone(&executor), clock, config.link, alone.engines);
+    let part = if presence.other() { Part::Successor } else { Part::Alone };
+    let share = Share::of(config.sockets, part);
+    let pool = Pool::new(Rc::clone(&executor), clock, config.link, share.engines);
     let engines: Rc<dyn Engines> = Rc::<Pool>::clone(&pool);
     let dispatch = Dispatch::new(clock, config.settings, config.seed, engines);
     let reports: Rc<dyn Reports> = Rc::<Dispatch>::clone(&dispatch);
     let reports: Weak<dyn Reports> = Rc::downgrade(&reports);
     pool.report_to(reports);
 
-    let mut bus = Bus::new(config.names.clone());
+    let ids = Rc::new(Ids::default());
+    let mut bus = Bus::new(config.names.clone(), Rc::clone(&ids));
     let news = Rc::clone(&dispatch);
     let mut tell = move |scope: ListScope, listed: &[Listed]| news.news(scope, listed);
     bus.known(config.known.0, config.known.1, &mut tell);
@@ -165,15 +192,19 @@
     let mut rng = ChaCha8Rng::seed_from_u64(config.seed);
     rng.set_stream(1);
     let intake: Rc<dyn Intake> = Rc::<Dispatch>::clone(&dispatch);
-    let sessions = Sessions::new(Rc::clone(&executor), intake, config.names, alone.clients, rng);
+    let sessions = Sessions::new(Rc::clone(&executor), intake, config.names, share.clients, rng);
     let presence = Rc::new(presence);
     let (beside, shared, sockets) = (Rc::clone(&presence), Rc::clone(&sessions), config.sockets);
-    executor.spawn(async move { keep_share(&beside, sockets, &shared, &pool).await }).detach();
+    executor.spawn(async move { keep_share(&beside, part, sockets, &shared, &pool).await }).detach();
     let door = Rc::clone(&sessions);
     executor.spawn(async move { door.keep_door().await }).detach();
+    let store = Store::new(shared_file(&config.listen, "cordons"));
+    let (list, kept) = (Rc::clone(&place), Rc::clone(&dispatch));
+    let operations = Operations::new(clock, list, ids, kept, Rc::clone(&sessions), store);
+    let watch = Rc::clone(&operations);
+    executor.spawn(async move { watch.watch().await }).detach();
     let accepting = executor.spawn(Rc::clone(&sessions).listen(Rc::clone(&listener)));
     if let Some(management) = management {
-        let operations = Rc::new(Operations::new(clock, Rc::clone(&place), Rc::clone(&sessions)));
         executor.spawn(Admin::new(Rc::clone(&executor), clock, operations).listen(management)).detach();
     }
     log::line(format_args!("violetgate {} listens on {}", config.name, config.listen));
