Report what the front end does: requests by class, tries, engines known and avoided

The only errors of that kind there are 57014, given to clients that cancel, which are not counted. Tests: stats.rs and the exchange figures.

--- a/violetgate/src/admin/mod.rs
+++ b/violetgate/src/admin/mod.rs
@@ -30,8 +30,8 @@
 /// The pause after the machine gave no connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
-const PATHS: [&str; 5] =
-    ["/admin/health", "/admin/cordon", "/admin/uncordon", "/admin/quiesce", "/admin/resume"];
+const PATHS: [&str; 6] =
+    ["/admin/health", "/admin/stats", "/admin/cordon", "/admin/uncordon", "/admin/quiesce", "/admin/resume"];
 
 /// The engine that a call names.
 #[derive(Deserialize)]
@@ -43,6 +43,8 @@
 pub trait Operations {
     /// Whether this process can serve.
     fn healthy(&self) -> bool;
+    /// The figures, in the text format of Prometheus.
+    fn figures(&self) -> String;
     /// Nothing more to an engine, until the call back. False: nobody has that name.
     fn cordon(&self, host: &str) -> bool;
     /// Uses an engine again. False: nobody has that name.
@@ -151,6 +153,7 @@
         match (call.method, call.path) {
             ("GET", "/admin/health") if self.operations.healthy() => told(Status::Ok, "ready"),
             ("GET", "/admin/health") => told(Status::ServiceUnavailable, "starting"),
+            ("GET", "/admin/stats") => (Status::Ok, self.operations.figures()),
             ("PUT", "/admin/cordon") => host(call, |host| self.operations.cordon(host)),
             ("PUT", "/admin/uncordon") => host(call, |host| self.operations.uncordon(host)),
             ("PUT", "/admin/quiesce") => {
--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -19,10 +19,11 @@
 use super::codec::{self, Malformed, Startup};
 use super::fields;
 use crate::config::Names;
-use crate::exchange::{Answer, Exchange, Intake};
+use crate::exchange::{Answer, Exchange, Intake, Request};
 use crate::log;
 use crate::net;
 use crate::room::{Guest, Room, Stage};
+use crate::stats::{Ending, Stats};
 
 /// How long a client may take over its start-up packet, and over the rest of a message that it has begun,
 /// however it trickles in: one that says half of something is owed an error or a close within 3 s.
@@ -59,6 +60,7 @@
     executor: Rc<LocalExecutor<'static>>,
     intake: Rc<dyn Intake>,
     names: Names,
+    stats: Rc<Stats>,
     room: Room,
     rng: RefCell<ChaCha8Rng>,
     keys: RefCell<HashMap<u32, Rc<Key>>>,
@@ -73,6 +75,7 @@
         executor: Rc<LocalExecutor<'static>>,
         intake: Rc<dyn Intake>,
         names: Names,
+        stats: Rc<Stats>,
         most: usize,
         rng: ChaCha8Rng,
     ) -> Rc<Self> {
@@ -80,6 +83,7 @@
             executor,
             intake,
             names,
+            stats,
             room: Room::new(most),
             rng: RefCell::new(rng),
             keys: RefCell::default(),
@@ -428,6 +432,7 @@
         let _busy = Busy::new(&sessions.busy);
         self.guest.is(Stage::Busy, self.read_at);
         self.requests += 1;
+        let mut counted = None;
         if fields::is_empty(sql) {
             if sessions.door.is_closed() {
                 self.closing();
@@ -437,23 +442,38 @@
         } else {
             match fields::request(sql, &sessions.names, self.read_at) {
                 Err(what) => self.fail("22023", &what),
-                Ok(_) if sessions.door.turns_back(self.read_at) => self.closing(),
                 Ok(request) => {
-                    let exchange = Exchange::new(request);
-                    if let Some((_, key)) = &self.key {
-                        key.cancelled.set(false); // a cancel that came between queries meant an earlier one
-                    }
-                    if sessions.intake.submit(&exchange) {
-                        let answer = self.wait(&exchange).await?;
-                        self.answer(answer);
-                    } else {
-                        self.fail("22023", "field `rid` names a request that is, or was just now, open");
-                    }
+                    let open = sessions.stats.begin(request.query.class);
+                    counted = self.serve_request(request).await?.map(|ending| (open, ending));
                 }
             }
         }
         codec::ready(&mut self.output);
-        self.write().await
+        self.write().await?;
+        // Only now has the client its answer.
+        if let Some((open, ending)) = counted {
+            open.ended(ending);
+        }
+        Ok(())
+    }
+
+    /// One request, up to its answer; how that ends it, unless the client itself did.
+    async fn serve_request(&mut self, request: Request) -> Result<Option<Ending>, Reason> {
+        let sessions = Rc::clone(self.sessions);
+        if sessions.door.turns_back(self.read_at) {
+            self.closing();
+            return Ok(Some(Ending::Refused));
+        }
+        let exchange = Exchange::new(request);
+        if let Some((_, key)) = &self.key {
+            key.cancelled.set(false); // a cancel that came between queries meant an earlier one
+        }
+        if !sessions.intake.submit(&exchange) {
+            self.fail("22023", "field `rid` names a request that is, or was just now, open");
+            return Ok(Some(Ending::Failed));
+        }
+        let answer = self.wait(&exchange).await?;
+        Ok(self.answer(answer))
     }
 
     /// Waits for the answer; `None` if the client cancelled the query.
@@ -496,17 +516,30 @@
         }
     }
 
-    fn answer(&mut self, answer: Option<Answer>) {
+    fn answer(&mut self, answer: Option<Answer>) -> Option<Ending> {
         match answer {
-            Some(Answer::Served(pages)) => codec::rows(&mut self.output, pages.iter().map(AsRef::as_ref)),
+            Some(Answer::Served(pages)) => {
+                codec::rows(&mut self.output, pages.iter().map(AsRef::as_ref));
+                Some(Ending::Served)
+            }
             Some(Answer::Refused { retry_after }) => {
                 let hint = format!("Try again in {} ms.", retry_after.div_ceil(1000));
                 let hint = (retry_after > 0).then_some(hint.as_str());
                 codec::error(&mut self.output, "ERROR", "53000", "too busy to serve this query", hint);
+                Some(Ending::Refused)
+            }
+            Some(Answer::Closing) => {
+                self.closing();
+                Some(Ending::Refused)
+            }
+            Some(Answer::Failed) => {
+                self.fail("58000", "the query failed; it may have had its effect");
+                Some(Ending::Failed)
+            }
+            None => {
+                self.fail("57014", "canceling statement due to user request");
+                None
             }
-            Some(Answer::Closing) => self.closing(),
-            Some(Answer::Failed) => self.fail("58000", "the query failed; it may have had its effect"),
-            None => self.fail("57014", "canceling statement due to user request"),
         }
     }
 
--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -109,6 +109,12 @@
         self.run();
     }
 
+    /// How many engines are listed, and how many of those are avoided.
+    #[must_use]
+    pub fn listed(&self) -> (usize, usize) {
+        self.gateway.borrow().listed()
+    }
+
     /// Takes an operator's call: nothing more to an engine, or again.
     pub fn cordon(&self, engine: EngineId, out: bool) {
         self.events.borrow_mut().push_back(Event::Cordon { engine, out });
--- a/violetgate/src/engine/conn.rs
+++ b/violetgate/src/engine/conn.rs
@@ -12,6 +12,7 @@
 
 use super::codec::{self, Parsed, Reply, Word};
 use crate::exchange::{Attempt, Pages};
+use crate::stats::Stats;
 
 /// A result of more bytes than this is no result: 48,000 are allowed.
 const MAX_RESULT: usize = 64 * 1024;
@@ -46,6 +47,8 @@
     writing: Vec<u8>,
     sent: usize,
     starts: Option<QueryId>,
+    /// The command being written is an attempt, which counts once it has left whole.
+    attempt: bool,
     stream: Option<Rc<Async<TcpStream>>>,
 }
 
@@ -65,11 +68,12 @@
     pub ended: Cell<Option<&'static str>>,
     /// The socket takes no more at the moment.
     pub blocked: Cell<bool>,
+    stats: Rc<Stats>,
     state: RefCell<State>,
 }
 
 impl Conn {
-    pub fn new(id: u64, engine: EngineId, addr: SocketAddr, now: Micros) -> Rc<Self> {
+    pub fn new(id: u64, engine: EngineId, addr: SocketAddr, now: Micros, stats: Rc<Stats>) -> Rc<Self> {
         Rc::new(Conn {
             id,
             engine,
@@ -79,6 +83,7 @@
             carried: Cell::new(0),
             ended: Cell::new(None),
             blocked: Cell::new(false),
+            stats,
             state: RefCell::default(),
         })
     }
@@ -119,7 +124,7 @@
             // It may be the command at hand, if the socket has taken nothing of that yet.
             if s.starts == Some(id) {
                 s.writing.clear();
-                s.starts = None;
+                (s.starts, s.attempt) = (None, false);
             }
             return false;
         }
@@ -168,6 +173,9 @@
         }
         loop {
             if s.sent >= s.writing.len() {
+                if std::mem::take(&mut s.attempt) {
+                    self.stats.tried();
+                }
                 s.writing.clear();
                 (s.sent, s.starts) = (0, None);
                 match s.queue.pop_front() {
@@ -176,7 +184,7 @@
                     Some(Command::Serve(id, number)) => {
                         if let Some(slot) = s.open.get(&id).filter(|slot| slot.attempt.number == number) {
                             encode(&mut s.writing, &slot.attempt);
-                            s.starts = Some(id);
+                            (s.starts, s.attempt) = (Some(id), true);
                         }
                     }
                 }
@@ -356,7 +364,7 @@
     }
 
     fn conn() -> Rc<Conn> {
-        Conn::new(1, 3, SocketAddr::from(([127, 0, 0, 1], 1)), 0)
+        Conn::new(1, 3, SocketAddr::from(([127, 0, 0, 1], 1)), 0, Rc::new(Stats::new([].into_iter())))
     }
 
     /// What waits for its connection has surely not run, and no longer may: one that left late would break
--- a/violetgate/src/engine/pool.rs
+++ b/violetgate/src/engine/pool.rs
@@ -18,6 +18,7 @@
 use crate::config::Link;
 use crate::exchange::{Attempt, AttemptEnd, Engines, Listed, Pages, Reports};
 use crate::log;
+use crate::stats::Stats;
 
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -35,6 +36,7 @@
     executor: Rc<LocalExecutor<'static>>,
     clock: Clock,
     link: Link,
+    stats: Rc<Stats>,
     /// How many connections there may be.
     most: Cell<usize>,
     reports: RefCell<Option<Weak<dyn Reports>>>,
@@ -50,12 +52,19 @@
 impl Pool {
     /// Creates a pool that knows no engines yet.
     #[must_use]
-    pub fn new(executor: Rc<LocalExecutor<'static>>, clock: Clock, link: Link, most: usize) -> Rc<Self> {
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        clock: Clock,
+        link: Link,
+        stats: Rc<Stats>,
+        most: usize,
+    ) -> Rc<Self> {
         Rc::new_cyclic(|me| Pool {
             me: me.clone(),
             executor,
             clock,
             link,
+            stats,
             most: Cell::new(most),
             reports: RefCell::default(),
             listed: RefCell::default(),
@@ -200,7 +209,7 @@
     fn open(&self, listed: &Listed) -> Option<Rc<Conn>> {
         let id = self.next.get();
         self.next.set(id + 1);
-        let conn = Conn::new(id, listed.engine.id, listed.addr, self.clock.now());
+        let conn = Conn::new(id, listed.engine.id, listed.addr, self.clock.now(), Rc::clone(&self.stats));
         self.conns.borrow_mut().insert(id, Rc::clone(&conn));
         self.executor.spawn(self.me.upgrade()?.drive(Rc::clone(&conn))).detach();
         Some(conn)
@@ -360,7 +369,8 @@
             streams: 100,
             tells_cost: true,
         };
-        let pool = Pool::new(Rc::new(LocalExecutor::new()), Clock::start(), link, most);
+        let stats = Rc::new(Stats::new([].into_iter()));
+        let pool = Pool::new(Rc::new(LocalExecutor::new()), Clock::start(), link, stats, most);
         let ends = Rc::new(Ends::default());
         let reports: Rc<dyn Reports> = Rc::<Ends>::clone(&ends);
         pool.report_to(Rc::downgrade(&reports));
--- a/violetgate/src/main.rs
+++ b/violetgate/src/main.rs
@@ -14,6 +14,7 @@
 mod operations;
 mod presence;
 mod room;
+mod stats;
 mod store;
 
 use std::net::SocketAddr;
@@ -40,6 +41,7 @@
 use exchange::{Engines, Intake, Listed, Reports};
 use operations::Operations;
 use presence::Presence;
+use stats::Stats;
 use store::Store;
 
 /// After SIGTERM new requests go on coming for this long.
@@ -167,7 +169,9 @@
 
     let part = if presence.other() { Part::Successor } else { Part::Alone };
     let share = Share::of(config.sockets, part);
-    let pool = Pool::new(Rc::clone(&executor), clock, config.link, share.engines);
+    let stats = Rc::new(Stats::new(config.names.classes.iter().map(|c| c.0.as_str())));
+    let counts = Rc::clone(&stats);
+    let pool = Pool::new(Rc::clone(&executor), clock, config.link, counts, share.engines);
     let engines: Rc<dyn Engines> = Rc::<Pool>::clone(&pool);
     let dispatch = Dispatch::new(clock, config.settings, config.seed, engines);
     let reports: Rc<dyn Reports> = Rc::<Dispatch>::clone(&dispatch);
@@ -192,7 +196,8 @@
     let mut rng = ChaCha8Rng::seed_from_u64(config.seed);
     rng.set_stream(1);
     let intake: Rc<dyn Intake> = Rc::<Dispatch>::clone(&dispatch);
-    let sessions = Sessions::new(Rc::clone(&executor), intake, config.names, share.clients, rng);
+    let sessions =
+        Sessions::new(Rc::clone(&executor), intake, config.names, Rc::clone(&stats), share.clients, rng);
     let presence = Rc::new(presence);
     let (beside, shared, sockets) = (Rc::clone(&presence), Rc::clone(&sessions), config.sockets);
     executor.spawn(async move { keep_share(&beside, part, sockets, &shared, &pool).await }).detach();
@@ -200,7 +205,7 @@
     executor.spawn(async move { door.keep_door().await }).detach();
     let store = Store::new(shared_file(&config.listen, "cordons"));
     let (list, kept) = (Rc::clone(&place), Rc::clone(&dispatch));
-    let operations = Operations::new(clock, list, ids, kept, Rc::clone(&sessions), store);
+    let operations = Operations::new(clock, list, ids, kept, Rc::clone(&sessions), stats, store);
     let watch = Rc::clone(&operations);
     executor.spawn(async move { watch.watch().await }).detach();
     let accepting = executor.spawn(Rc::clone(&sessions).listen(Rc::clone(&listener)));
--- a/violetgate/src/operations.rs
+++ b/violetgate/src/operations.rs
@@ -13,6 +13,7 @@
 use crate::clock::Clock;
 use crate::dispatch::Dispatch;
 use crate::log;
+use crate::stats::Stats;
 use crate::store::{Names, Store};
 
 /// A bus that does not answer keeps a process from being called ready for this long; engines that serve are
@@ -30,6 +31,7 @@
     ids: Rc<Ids>,
     dispatch: Rc<Dispatch>,
     sessions: Rc<Sessions>,
+    stats: Rc<Stats>,
     store: Store,
     /// Engines that are called out.
     cordons: RefCell<Names>,
@@ -45,10 +47,11 @@
         ids: Rc<Ids>,
         dispatch: Rc<Dispatch>,
         sessions: Rc<Sessions>,
+        stats: Rc<Stats>,
         store: Store,
     ) -> Rc<Self> {
         let (start, cordons) = (clock.now(), RefCell::default());
-        let me = Operations { clock, start, place, ids, dispatch, sessions, store, cordons };
+        let me = Operations { clock, start, place, ids, dispatch, sessions, stats, store, cordons };
         me.look();
         Rc::new(me)
     }
@@ -102,6 +105,11 @@
         self.place.heard() || self.clock.now() >= self.start + WAIT.as_micros() as Micros
     }
 
+    fn figures(&self) -> String {
+        let (known, skipped) = self.dispatch.listed();
+        self.stats.text(known, skipped)
+    }
+
     fn cordon(&self, host: &str) -> bool {
         self.call(host, true)
     }
