--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -444,7 +444,7 @@
                 Err(what) => self.fail("22023", &what),
                 Ok(request) => {
                     let open = sessions.stats.begin(request.query.class);
-                    counted = self.serve_request(request).await?.map(|ending| (open, ending));
+                    counted = Some((open, self.serve_request(request).await?));
                 }
             }
         }
@@ -457,12 +457,12 @@
         Ok(())
     }
 
-    /// One request, up to its answer; how that ends it, unless the client itself did.
-    async fn serve_request(&mut self, request: Request) -> Result<Option<Ending>, Reason> {
+    /// One request, up to its answer, and how that ends it.
+    async fn serve_request(&mut self, request: Request) -> Result<Ending, Reason> {
         let sessions = Rc::clone(self.sessions);
         if sessions.door.turns_back(self.read_at) {
             self.closing();
-            return Ok(Some(Ending::Refused));
+            return Ok(Ending::Refused);
         }
         let exchange = Exchange::new(request);
         if let Some((_, key)) = &self.key {
@@ -470,7 +470,7 @@
         }
         if !sessions.intake.submit(&exchange) {
             self.fail("22023", "field `rid` names a request that is, or was just now, open");
-            return Ok(Some(Ending::Failed));
+            return Ok(Ending::Failed);
         }
         let answer = self.wait(&exchange).await?;
         Ok(self.answer(answer))
@@ -516,29 +516,30 @@
         }
     }
 
-    fn answer(&mut self, answer: Option<Answer>) -> Option<Ending> {
+    fn answer(&mut self, answer: Option<Answer>) -> Ending {
         match answer {
             Some(Answer::Served(pages)) => {
                 codec::rows(&mut self.output, pages.iter().map(AsRef::as_ref));
-                Some(Ending::Served)
+                Ending::Served
             }
             Some(Answer::Refused { retry_after }) => {
                 let hint = format!("Try again in {} ms.", retry_after.div_ceil(1000));
                 let hint = (retry_after > 0).then_some(hint.as_str());
                 codec::error(&mut self.output, "ERROR", "53000", "too busy to serve this query", hint);
-                Some(Ending::Refused)
+                Ending::Refused
             }
             Some(Answer::Closing) => {
                 self.closing();
-                Some(Ending::Refused)
+                Ending::Refused
             }
             Some(Answer::Failed) => {
                 self.fail("58000", "the query failed; it may have had its effect");
-                Some(Ending::Failed)
+                Ending::Failed
             }
+            // Its client gave it up, and is told so: it ends as any other that is not served.
             None => {
                 self.fail("57014", "canceling statement due to user request");
-                None
+                Ending::Failed
             }
         }
     }
--- a/violetgate/src/stats.rs
+++ b/violetgate/src/stats.rs
@@ -10,7 +10,7 @@
     Served,
     /// Turned away; another try does no harm.
     Refused,
-    /// Any other error.
+    /// Any other error, also the one that tells a client of its own cancel.
     Failed,
 }
 
