--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,7 +62,7 @@
 const TRUST: f64 = 0.12;
 /// An ejected engine rests this many note periods, doubled at each failed trial.
 const REST: f64 = 1.0;
-const REST_DOUBLINGS: u32 = 3;
+const REST_DOUBLINGS: u32 = 1;
 /// A class shuns engines only while one in so many serves it.
 const LEAST_SERVING: usize = 3;
 /// Note periods without any sign after which an attempt is taken as silent.
@@ -272,7 +272,7 @@
             return 0.0; // slow: one query at a time, which also shows when it recovers
         }
         let widened = if self.base_bound(n.cores) < 1.0 { 1.0 + self.fleet.widened } else { 1.0 };
-        n.bound * widened * self.warmth(n)
+        n.bound * widened * self.warmth(n).sqrt()
     }
 
     /// The design's predicted wait: held work over what the ready engines do for this gateway. One with a
