Refuse a management address that is the clients' one; tests for cold and ejected engines

As both listeners share their ports, equal addresses would have been taken and answered at random (config.rs).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,7 +60,8 @@
 const FAIL_GAIN: f64 = 0.25;
 const EJECT: f64 = 0.4;
 const TRUST: f64 = 0.12;
-/// An ejected engine rests this many note periods, doubled at each failed trial.
+/// An ejected engine rests this many note periods, doubled so often at failed trials: what ails it ends
+/// unannounced, and a trial costs one further attempt.
 const REST: f64 = 1.0;
 const REST_DOUBLINGS: u32 = 1;
 /// A class shuns engines only while one in so many serves it.
@@ -272,6 +273,7 @@
             return 0.0; // slow: one query at a time, which also shows when it recovers
         }
         let widened = if self.base_bound(n.cores) < 1.0 { 1.0 + self.fleet.widened } else { 1.0 };
+        // A cold engine's threads are slow, but as many. It hurts where it takes fewer, as its queries come late.
         n.bound * widened * self.warmth(n).sqrt()
     }
 
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use linnetreach::interface::{Class, NewQuery, Outcome, Progress};
+use linnetreach::interface::{Class, Engine, NewQuery, Outcome, Progress};
 use linnetreach::Event;
 
 /// Found with eleven gateways: each held one report at every engine and its look-ups waited seconds for it.
@@ -346,3 +346,36 @@
     let places = serve(&mut b, 16);
     assert!((0..4).all(|e| places.iter().filter(|p| **p == e).count() == 4), "{places:?}");
 }
+
+/// A cold engine's threads are slow, but as many: held to a part of its bound as small as its warmth, it stands
+/// half idle while the others are full.
+#[test]
+fn a_cold_engine_holds_more_than_its_warmth() {
+    let mut s = settings(vec![class(10 * S)], 8.0);
+    (s.cold_share, s.cold) = (Some(0.25), Some(10 * S));
+    let mut b = Bench::new(s, vec![Engine { started: Some(S), ..engine(0) }]);
+    let out = (1..30).filter(|id| sent(&b.ask(query(*id, 100 * MS)), *id).is_some()).count();
+    assert_eq!(out, 8, "half of 16 threads at a quarter of the warmth");
+}
+
+/// An engine that fails every trial is still tried every few seconds: what ailed it ends unannounced, and until
+/// the next trial its room is lost.
+#[test]
+fn an_ejected_engine_is_tried_every_two_periods() {
+    let mut b = Bench::new(settings(vec![class(10 * S)], 8.0), vec![engine(0), engine(1), engine(2)]);
+    let mut tried = Vec::new();
+    for step in 0..400 {
+        b.now = S + step * 100 * MS;
+        let id = 1 + step;
+        let Some(e) = sent(&b.ask(query(id, 100 * MS)), id) else { continue };
+        if e != 0 {
+            b.end(id, 0, e, Outcome::Completed);
+            continue;
+        }
+        tried.push(b.now);
+        let again = sent(&b.end(id, 0, 0, Outcome::Refused), id);
+        again.into_iter().for_each(|e| drop(b.end(id, 1, e, Outcome::Completed)));
+    }
+    let gaps: Vec<_> = tried.windows(2).map(|w| w[1] - w[0]).collect();
+    assert!(gaps.len() > 10 && gaps.iter().all(|g| *g <= 3 * S), "{gaps:?}");
+}
--- a/violetgate/src/config.rs
+++ b/violetgate/src/config.rs
@@ -148,7 +148,13 @@
         let addr = |what: &str, text: &str| {
             text.parse::<SocketAddr>().map_err(|e| format!("`{what}`: {text:?}: {e}"))
         };
-        let listen = listen.or(file.listen).ok_or("`listen` is missing")?;
+        let listen = addr("listen", &listen.or(file.listen).ok_or("`listen` is missing")?)?;
+        let management = management.or(file.management).filter(|a| !a.is_empty());
+        let management = management.map(|a| addr("management", &a)).transpose()?;
+        // Both listeners share their ports with another process, and so they would with each other.
+        if management == Some(listen) {
+            return Err(format!("`management`: {listen} is where clients connect"));
+        }
         let mut settings =
             linnetreach::wire::settings_from_json(&file.settings).map_err(|e| format!("`settings`: {e}"))?;
         let own = SocketSettings::deserialize(&file.settings).map_err(|e| format!("`settings`: {e}"))?;
@@ -164,12 +170,8 @@
         }
         Ok(Config {
             name: name.unwrap_or(file.name),
-            listen: addr("listen", &listen)?,
-            management: management
-                .or(file.management)
-                .filter(|a| !a.is_empty())
-                .map(|a| addr("management", &a))
-                .transpose()?,
+            listen,
+            management,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|e| format!("`seed`: {e}"))?,
             sockets: file.limits.sockets.unwrap_or(1024),
             bus: addr("bus", &file.bus)?,
--- a/violetgate/tests/play.rs
+++ b/violetgate/tests/play.rs
@@ -472,6 +472,11 @@
             "settings":{"classes":[{"deadline":"soon"}]}}"#,
             "classes[0].deadline",
         ),
+        (
+            r#"{"listen":"127.0.0.1:9","management":"127.0.0.1:9","seed":"1","bus":"127.0.0.1:1",
+            "known":{"offset":0},"settings":{}}"#,
+            "`management`: 127.0.0.1:9 is where clients connect",
+        ),
     ] {
         std::fs::write(&path, text).unwrap();
         let output = program(&path).env_remove("PROXY_LISTEN").output().unwrap();
