--- a/src/rules.rs
+++ b/src/rules.rs
@@ -273,7 +273,7 @@
             return 0.0; // slow: one query at a time, which also shows when it recovers
         }
         let widened = if self.base_bound(n.cores) < 1.0 { 1.0 + self.fleet.widened } else { 1.0 };
-        // A cold engine's threads are slow, but as many. It hurts where it takes fewer, as its queries come late.
+        // A cold engine's threads are slow, but as many. It hurts where it takes fewer.
         n.bound * widened * self.warmth(n).sqrt()
     }
 
@@ -496,7 +496,8 @@
             let base = if bound > 0.0 { self.base_bound(n.cores) * self.warmth(n) } else { 0.0 };
             let (own, lot) = if part { (0.0, (draw / 4_294_967_296.0).ln() / weight) } else { (base, 0.0) };
             // One called back looks the least free while it is cold: it is tried at once, by a short query.
-            let first = n.untried && n.out.is_empty() && self.repeatable(q) && q.work <= self.fleet.work.mean;
+            let short = q.work <= self.fleet.work.mean;
+            let first = n.untried && n.out.is_empty() && short && self.repeatable(q);
             let free = (q.avoid != Some(e), first, own - self.ahead(q, &n.threads), near, self.ease(n), lot);
             if free > most {
                 most = free;
