Run members over TCP with a disk thread each; move the daemon's packages to cluster/

Need: core, state, disk and gate had no way to talk to another process or to a real disk.

Change: cluster/node holds Cluster (messages, disk thread with group commit, timers, calls with time limits) and Transport (greeting with cluster, version and ids; frames of 16 MiB at most; queues of 32 MiB; reconnects). Disk::create refuses a folder that holds anything of a member but its mark. consensus, disk, member and state move to cluster/, standin and prove to tools/.

Found before the change: with three.rs as it was left, two of three tests failed ('1 is not current'). Status of all members showed member 1, started again in the same process, as a candidate of term 1 that heard nobody while 2 and 3 agreed on (242 entries). Disk and core were ruled out by that: its log was right and its peers' sends succeeded. At fault was Transport::listen, whose detached hear tasks held the old Transport, so that the others' connections stayed with the stopped member. They are now owned by it. The other test asked for an open gate at once, where the gate asks only every 250 ms: it waits now.

--- a/disk/src/disk.rs
+++ b/cluster/disk/src/disk.rs
@@ -140,8 +140,10 @@
     /// The folder is somebody's already, or can't be written.
     pub fn create(files: F, identity: &Identity, base: &Meta) -> Result<(Self, Kept), Failure> {
         let names = files.list().map_err(Failure::Full)?;
-        if names.iter().any(|n| n == IDENTITY) {
-            return Err(Failure::NotOurs("this folder is a member's already".to_owned()));
+        // What a start that was cut short has left is no more than this.
+        let none = [snapshot_name(0), format!("{}.new", snapshot_name(0)), format!("{IDENTITY}.new")];
+        if let Some(other) = names.iter().find(|n| !none.contains(n)) {
+            return Err(Failure::NotOurs(format!("this folder is a member's already: it holds {other}")));
         }
         let mut disk = Disk { files, hard: Hard::default(), segments: Vec::new(), snapshot: 0, lost: None };
         disk.keep(base, &[])?;
--- a/disk/tests/faults.rs
+++ b/cluster/disk/tests/faults.rs
@@ -217,6 +217,13 @@
     let files = fresh().into_files();
     let other = Identity { member: 2, ..me() };
     assert!(matches!(Disk::open(files.clone(), &other), Err(Failure::NotOurs(_))));
+    assert!(matches!(Disk::create(files.clone(), &me(), &base()), Err(Failure::NotOurs(_))));
+    // Without its mark it is nobody's, and what it holds is not taken for a new member's.
+    let mut disk = Disk::open(files, &me()).unwrap().0;
+    disk.write(&[write(1, None, 1..2)]).unwrap();
+    let mut files = disk.into_files();
+    files.files.remove("member").unwrap();
+    assert!(matches!(Disk::open(files.clone(), &me()), Err(Failure::NotOurs(_))));
     assert!(matches!(Disk::create(files, &me(), &base()), Err(Failure::NotOurs(_))));
     assert!(matches!(Disk::open(Memory::default(), &me()), Err(Failure::NotOurs(_))));
 }
--- /dev/null
+++ b/cluster/node/src/lib.rs
@@ -0,0 +1,10 @@
+//! A member of the daemon's cluster at work: [`Cluster`] carries out what [`violetgate_member::Member`] asks for, over
+//! TCP to the other members ([`transport`]) and on a disk that a thread of its own writes.
+//!
+//! It decides nothing: who leads, what is agreed on and whether state may be routed on is the member's.
+
+mod runtime;
+pub mod transport;
+mod wire;
+
+pub use runtime::{Answered, Cluster, Options, Status};
--- /dev/null
+++ b/cluster/node/src/transport.rs
@@ -0,0 +1,297 @@
+//! Connections between members: one each way, made by the one that sends; framed, bounded, made again when they break.
+//! A message that finds its queue full is dropped: the core asks again for what matters.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::future::poll_fn;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::{Rc, Weak};
+use std::task::{Poll, Waker};
+use std::time::Duration;
+
+use async_executor::{LocalExecutor, Task};
+use async_io::{Async, Timer};
+use futures_lite::{future, FutureExt};
+use violetgate_consensus::{Message, NodeId};
+
+use crate::wire::{self, Hello, Welcome};
+
+/// Bytes that wait for one member.
+const QUEUE: usize = 32 << 20;
+/// How long a connection may take to come up, and a greeting to be answered.
+const CONNECT: Duration = Duration::from_millis(500);
+const GREET: Duration = Duration::from_secs(2);
+/// How long the other side may take nothing.
+const STALLED: Duration = Duration::from_secs(5);
+/// The pause before another try, doubled up to the last at each one that fails.
+const PAUSE: Duration = Duration::from_millis(20);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// The most connections that others may have here.
+const MOST: usize = 64;
+
+/// Where messages that come are told.
+pub type Incoming = Box<dyn Fn(NodeId, Message)>;
+
+#[derive(Default)]
+struct Queue {
+    frames: RefCell<VecDeque<Vec<u8>>>,
+    bytes: Cell<usize>,
+    waker: RefCell<Option<Waker>>,
+}
+
+struct Peer {
+    addr: SocketAddr,
+    queue: Rc<Queue>,
+    _task: Task<()>,
+}
+
+/// The connections of one member.
+pub struct Transport {
+    me: Weak<Transport>,
+    executor: Rc<LocalExecutor<'static>>,
+    cluster: String,
+    id: NodeId,
+    peers: RefCell<BTreeMap<NodeId, Peer>>,
+    incoming: Incoming,
+    /// Connections of others, by number, and the numbers of those that have ended. They end with this transport.
+    heard: RefCell<BTreeMap<u64, Task<()>>>,
+    ended: Rc<RefCell<Vec<u64>>>,
+    next: Cell<u64>,
+    dropped: Cell<u64>,
+    /// Members that this one does not hear and does not reach, for tests of cuts.
+    cut: RefCell<Vec<NodeId>>,
+}
+
+impl Transport {
+    /// The transport of a member, which knows no others yet.
+    #[must_use]
+    pub fn new(
+        executor: Rc<LocalExecutor<'static>>,
+        cluster: &str,
+        id: NodeId,
+        incoming: Incoming,
+    ) -> Rc<Self> {
+        Rc::new_cyclic(|me| Transport {
+            me: me.clone(),
+            executor,
+            cluster: cluster.to_owned(),
+            id,
+            peers: RefCell::default(),
+            incoming,
+            heard: RefCell::default(),
+            ended: Rc::default(),
+            next: Cell::new(0),
+            dropped: Cell::new(0),
+            cut: RefCell::default(),
+        })
+    }
+
+    /// Names the members that may be sent to, and where they are. Connections to others end.
+    pub fn peers(&self, known: &BTreeMap<NodeId, SocketAddr>) {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|id, peer| known.get(id) == Some(&peer.addr));
+        for (id, addr) in known.iter().filter(|(id, _)| **id != self.id) {
+            let Some(me) = self.me.upgrade() else { return };
+            let (id, addr) = (*id, *addr);
+            peers.entry(id).or_insert_with(|| {
+                let queue = Rc::new(Queue::default());
+                let task = me.executor.spawn(keep(self.me.clone(), id, addr, Rc::clone(&queue)));
+                Peer { addr, queue, _task: task }
+            });
+        }
+    }
+
+    /// Messages dropped so far, as their queue was full.
+    #[must_use]
+    pub fn dropped(&self) -> u64 {
+        self.dropped.get()
+    }
+
+    /// Hears and reaches these no more, until told otherwise: a cut, for tests and drills.
+    pub fn cut(&self, ids: &[NodeId]) {
+        *self.cut.borrow_mut() = ids.to_vec();
+    }
+
+    /// Sends a message, if there is room for it.
+    pub fn send(&self, to: NodeId, message: &Message) {
+        if self.cut.borrow().contains(&to) {
+            return;
+        }
+        let peers = self.peers.borrow();
+        let Some(peer) = peers.get(&to) else { return };
+        let mut frame = Vec::new();
+        let queue = &peer.queue;
+        if !wire::put(&mut frame, message) || queue.bytes.get() + frame.len() > QUEUE {
+            self.dropped.set(self.dropped.get() + 1);
+            return;
+        }
+        queue.bytes.set(queue.bytes.get() + frame.len());
+        queue.frames.borrow_mut().push_back(frame);
+        queue.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+    }
+
+    /// Takes connections for ever.
+    pub async fn listen(self: Rc<Self>, listener: Async<TcpListener>) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, peer)) => self.welcome(stream, peer),
+                Err(e) => {
+                    tracing::info!("member accept failed: {e}");
+                    Timer::after(PAUSE).await;
+                }
+            }
+            future::yield_now().await;
+        }
+    }
+
+    fn welcome(&self, stream: Async<TcpStream>, peer: SocketAddr) {
+        let mut heard = self.heard.borrow_mut();
+        self.ended.borrow_mut().drain(..).for_each(|n| drop(heard.remove(&n)));
+        if heard.len() >= MOST {
+            return tracing::info!("member {peer} ended reason=too_many");
+        }
+        let n = self.next.get();
+        self.next.set(n + 1);
+        let (me, ended) = (self.me.clone(), Rc::clone(&self.ended));
+        let task = self.executor.spawn(async move {
+            let reason = hear(&me, &stream).await;
+            ended.borrow_mut().push(n);
+            tracing::info!("member {peer} ended reason={reason}");
+        });
+        heard.insert(n, task);
+    }
+}
+
+/// Hears one member out; the reason why it ended.
+async fn hear(of: &Weak<Transport>, stream: &Async<TcpStream>) -> String {
+    let _ = stream.get_ref().set_nodelay(true);
+    let mut input = Vec::new();
+    let greeting = frame::<Hello>(stream, &mut input, wire::GREETING);
+    let hello = match greeting.or(late("greeting_timeout", GREET)).await {
+        Ok(hello) => hello,
+        Err(reason) => return reason.to_owned(),
+    };
+    let Some(refused) = of.upgrade().map(|t| hello.refused(&t.cluster, t.id)) else {
+        return "stopped".to_owned();
+    };
+    let mut answer = Vec::new();
+    wire::put(&mut answer, &Welcome { refused: refused.clone() });
+    if let Err(reason) = write(stream, &answer).await {
+        return reason.to_owned();
+    }
+    if let Some(why) = refused {
+        return format!("refused: {why}");
+    }
+    loop {
+        let message = match frame::<Message>(stream, &mut input, wire::LONGEST).await {
+            Ok(message) => message,
+            Err(reason) => return reason.to_owned(),
+        };
+        let Some(transport) = of.upgrade() else { return "stopped".to_owned() };
+        if !transport.cut.borrow().contains(&hello.from) {
+            (transport.incoming)(hello.from, message);
+        }
+    }
+}
+
+/// Keeps a connection to a member for ever, and writes what waits for it.
+async fn keep(of: Weak<Transport>, id: NodeId, addr: SocketAddr, queue: Rc<Queue>) {
+    let (mut pause, mut told) = (PAUSE, String::new());
+    loop {
+        let hello = match of.upgrade() {
+            Some(transport) => Hello::new(&transport.cluster, transport.id, id),
+            None => return,
+        };
+        let mut greeted = false;
+        let reason = talk(&hello, addr, &queue, &mut greeted).await;
+        if greeted || reason != told {
+            tracing::info!("member {id} at {addr} ended reason={reason}");
+        }
+        told = reason;
+        pause = if greeted { PAUSE } else { (pause * 2).min(LONGEST_PAUSE) };
+        // What waited for a connection that is not there is old by the time there is one.
+        queue.frames.borrow_mut().clear();
+        queue.bytes.set(0);
+        Timer::after(pause).await;
+    }
+}
+
+async fn talk(hello: &Hello, addr: SocketAddr, queue: &Queue, greeted: &mut bool) -> String {
+    let connect = async { Async::<TcpStream>::connect(addr).await.map_err(|_| "connect_error") };
+    let stream = match connect.or(late("connect_timeout", CONNECT)).await {
+        Ok(stream) => stream,
+        Err(reason) => return reason.to_owned(),
+    };
+    let _ = stream.get_ref().set_nodelay(true);
+    let mut greeting = Vec::new();
+    wire::put(&mut greeting, hello);
+    if let Err(reason) = write(&stream, &greeting).await {
+        return reason.to_owned();
+    }
+    let mut input = Vec::new();
+    let welcome =
+        frame::<Welcome>(&stream, &mut input, wire::GREETING).or(late("greeting_timeout", GREET)).await;
+    match welcome {
+        Ok(Welcome { refused: None }) => *greeted = true,
+        Ok(Welcome { refused: Some(why) }) => return format!("refused: {why}"),
+        Err(reason) => return reason.to_owned(),
+    }
+    loop {
+        let next = poll_fn(|cx| {
+            let frame = queue.frames.borrow_mut().pop_front();
+            if let Some(frame) = frame {
+                queue.bytes.set(queue.bytes.get() - frame.len());
+                return Poll::Ready(Ok(frame));
+            }
+            *queue.waker.borrow_mut() = Some(cx.waker().clone());
+            Poll::Pending
+        });
+        // The other side says nothing more: what can be read is its end.
+        let ended = async {
+            let mut byte = [0];
+            let _ = stream.read_with(|mut s| s.read(&mut byte)).await;
+            Err("closed")
+        };
+        let written = match next.or(ended).await {
+            Ok(frame) => write(&stream, &frame).await,
+            Err(reason) => Err(reason),
+        };
+        if let Err(reason) = written {
+            return reason.to_owned();
+        }
+    }
+}
+
+async fn late<T>(reason: &'static str, after: Duration) -> Result<T, &'static str> {
+    Timer::after(after).await;
+    Err(reason)
+}
+
+async fn frame<T: serde::de::DeserializeOwned>(
+    stream: &Async<TcpStream>,
+    input: &mut Vec<u8>,
+    longest: usize,
+) -> Result<T, &'static str> {
+    let mut chunk = [0u8; 16 * 1024];
+    loop {
+        if let Some((value, size)) = wire::take(input, longest)? {
+            input.drain(..size);
+            return Ok(value);
+        }
+        match stream.read_with(|mut s| s.read(&mut chunk)).await {
+            Ok(0) => return Err("closed"),
+            Ok(n) => input.extend_from_slice(chunk.get(..n).unwrap_or_default()),
+            Err(_) => return Err("reset"),
+        }
+    }
+}
+
+async fn write(stream: &Async<TcpStream>, mut bytes: &[u8]) -> Result<(), &'static str> {
+    while !bytes.is_empty() {
+        let some = async { stream.write_with(|mut s| s.write(bytes)).await.map_err(|_| "reset") };
+        let n = some.or(late("stalled", STALLED)).await?;
+        bytes = bytes.get(n..).unwrap_or_default();
+    }
+    Ok(())
+}
--- /dev/null
+++ b/cluster/node/src/wire.rs
@@ -0,0 +1,134 @@
+//! What members write on a connection: a greeting each, then frames of one message. It does no I/O.
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use violetgate_consensus::NodeId;
+
+/// The version of this protocol. A member of another one is turned away, and says so in its log.
+pub const VERSION: u16 = 1;
+/// The longest frame: a transaction of 128 entries of 64 KiB fits.
+pub const LONGEST: usize = 16 << 20;
+/// The longest greeting.
+pub const GREETING: usize = 1 << 10;
+/// Bytes before a frame: its length.
+pub const HEAD: usize = 4;
+
+/// What the one that connects says first.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hello {
+    /// `VGCL`, so that whoever speaks something else is noticed at once.
+    pub magic: [u8; 4],
+    /// [`VERSION`].
+    pub version: u16,
+    /// The cluster.
+    pub cluster: String,
+    /// Who connects.
+    pub from: NodeId,
+    /// Whom it means to reach.
+    pub to: NodeId,
+}
+
+/// The answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// Why not; nothing: frames may follow.
+    pub refused: Option<String>,
+}
+
+impl Hello {
+    /// A greeting.
+    #[must_use]
+    pub fn new(cluster: &str, from: NodeId, to: NodeId) -> Self {
+        Hello { magic: *b"VGCL", version: VERSION, cluster: cluster.to_owned(), from, to }
+    }
+
+    /// Why one that greets like this is turned away by this member.
+    #[must_use]
+    pub fn refused(&self, cluster: &str, me: NodeId) -> Option<String> {
+        if self.magic != *b"VGCL" {
+            Some("this is no member".to_owned())
+        } else if self.version != VERSION {
+            Some(format!("it speaks version {}, this is version {VERSION}", self.version))
+        } else if self.cluster != cluster {
+            Some(format!("it belongs to cluster {:?}, this is {cluster:?}", self.cluster))
+        } else if self.to != me {
+            Some(format!("it looks for member {}, this is {me}", self.to))
+        } else if self.from == me {
+            Some(format!("it has this member's id, {me}"))
+        } else {
+            None
+        }
+    }
+}
+
+/// Appends a frame. False: it would be too long, and nothing was appended.
+pub fn put(out: &mut Vec<u8>, value: &impl Serialize) -> bool {
+    let Ok(body) = postcard::to_stdvec(value) else { return false };
+    let Ok(length) = u32::try_from(body.len()) else { return false };
+    if body.len() > LONGEST {
+        return false;
+    }
+    out.extend_from_slice(&length.to_le_bytes());
+    out.extend_from_slice(&body);
+    true
+}
+
+/// What stands at the start of the bytes read: a frame and its size, `None` while it is not whole.
+///
+/// # Errors
+///
+/// No frame begins like that.
+pub fn take<T: DeserializeOwned>(bytes: &[u8], longest: usize) -> Result<Option<(T, usize)>, &'static str> {
+    let Some((length, rest)) = bytes.split_first_chunk() else { return Ok(None) };
+    let length = u32::from_le_bytes(*length) as usize;
+    if length > longest {
+        return Err("frame_too_long");
+    }
+    let Some(body) = rest.get(..length) else { return Ok(None) };
+    let value = postcard::from_bytes(body).map_err(|_| "garbage")?;
+    Ok(Some((value, HEAD + length)))
+}
+
+#[cfg(test)]
+#[allow(clippy::unwrap_used, clippy::indexing_slicing)]
+mod tests {
+    use super::*;
+    use violetgate_consensus::{Entry, Message, Payload};
+
+    /// A frame is the same wherever it is cut; what is no frame is told apart from one that is not whole.
+    #[test]
+    fn frames_come_in_any_pieces() {
+        let entries = vec![Entry { term: 3, index: 9, payload: Payload::Command(vec![5; 40]) }];
+        let message = Message::Append { term: 3, prev: (2, 8), entries, commit: 7, round: 11 };
+        let mut bytes = Vec::new();
+        assert!(put(&mut bytes, &message) && put(&mut bytes, &Message::Read { ctx: 4 }));
+        for cut in 0..bytes.len() {
+            let read = take::<Message>(&bytes[..cut], LONGEST).unwrap();
+            assert!(read.is_none_or(|(m, size)| m == message && size <= cut));
+        }
+        let (_, size) = take::<Message>(&bytes, LONGEST).unwrap().unwrap();
+        assert_eq!(take::<Message>(&bytes[size..], LONGEST).unwrap().unwrap().0, Message::Read { ctx: 4 });
+        assert!(take::<Message>(&bytes, 10).is_err());
+        for at in 4..12 {
+            let mut bent = bytes.clone();
+            bent[at] ^= 0x55;
+            let _ = take::<Message>(&bent, LONGEST);
+        }
+    }
+
+    /// Who is turned away, and why.
+    #[test]
+    fn strangers_are_turned_away() {
+        let hello = Hello::new("c", 2, 1);
+        assert_eq!(hello.refused("c", 1), None);
+        for (hello, says) in [
+            (Hello { magic: *b"GET ", ..hello.clone() }, "no member"),
+            (Hello { version: 9, ..hello.clone() }, "version 9"),
+            (Hello { cluster: "d".to_owned(), ..hello.clone() }, "cluster \"d\""),
+            (Hello { to: 3, ..hello.clone() }, "looks for member 3"),
+            (Hello { from: 1, ..hello }, "this member's id"),
+        ] {
+            assert!(hello.refused("c", 1).unwrap().contains(says));
+        }
+    }
+}
