--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks. `make run` needs PROXY_CONFIG, see README.md.
-.PHONY: build test lint run ci prove-rest
+.PHONY: build test lint run ci prove-rest prove-daemon prove-run
 
 # Proofs measure for a while and hold the program to bounds; arguments by ARGS="--requests 100000".
 ARGS ?=
@@ -8,6 +8,15 @@
 	cargo build --locked --release --workspace
 	target/release/prove-rest $(ARGS)
 
+prove-run:
+	cargo build --locked --release --workspace
+	target/release/prove-run $(ARGS)
+
+# ARGS="--seconds 600" is the long form.
+prove-daemon:
+	cargo build --locked --release --workspace
+	target/release/prove-daemon $(ARGS)
+
 build:
 	cargo build --release
 
--- a/cluster/consensus/src/members.rs
+++ b/cluster/consensus/src/members.rs
@@ -31,7 +31,7 @@
 }
 
 /// Why a step is not taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Rejected {
     /// This member does not lead.
     NotLeader,
--- a/cluster/consensus/src/node.rs
+++ b/cluster/consensus/src/node.rs
@@ -170,6 +170,10 @@
             log,
         };
         node.rest();
+        // One that is a majority by itself has nobody to wait for.
+        if node.members.1.is_quorum(|member| member == id) {
+            node.election_at = now;
+        }
         node
     }
 
--- a/cluster/disk/src/disk.rs
+++ b/cluster/disk/src/disk.rs
@@ -25,6 +25,8 @@
     pub cluster: String,
     /// The member.
     pub member: u64,
+    /// Drawn at random when the folder was made: another disk under the same id has another one.
+    pub born: u64,
 }
 
 /// Why something could not be done.
@@ -54,6 +56,8 @@
 /// What was found at a start.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct Kept {
+    /// When the folder was made, this was drawn.
+    pub born: u64,
     /// Term and vote.
     pub hard: Hard,
     /// What the snapshot stands for.
@@ -133,12 +137,13 @@
 }
 
 impl<F: Files> Disk<F> {
-    /// Makes a new member's disk: a snapshot of nothing that names the first members, or nobody for one that joins.
+    /// Makes a new member's disk: a snapshot that names the first members, of nothing or of a state to begin with; or
+    /// of nothing that names nobody, for one that joins.
     ///
     /// # Errors
     ///
     /// The folder is somebody's already, or can't be written.
-    pub fn create(files: F, identity: &Identity, base: &Meta) -> Result<(Self, Kept), Failure> {
+    pub fn create(files: F, identity: &Identity, base: &Meta, state: &[u8]) -> Result<(Self, Kept), Failure> {
         let names = files.list().map_err(Failure::Full)?;
         // What a start that was cut short has left is no more than this.
         let none = [snapshot_name(0), format!("{}.new", snapshot_name(0)), format!("{IDENTITY}.new")];
@@ -146,11 +151,11 @@
             return Err(Failure::NotOurs(format!("this folder is a member's already: it holds {other}")));
         }
         let mut disk = Disk { files, hard: Hard::default(), segments: Vec::new(), snapshot: 0, lost: None };
-        disk.keep(base, &[])?;
+        disk.keep(base, state)?;
         // Last: without it, nothing here is anybody's.
         disk.aside(IDENTITY, &encode(identity)?)?;
         let Disk { files, .. } = disk;
-        Self::open(files, identity)
+        Self::open(files, &identity.cluster, identity.member)
     }
 
     /// Opens a member's disk and reads what is kept there.
@@ -158,7 +163,7 @@
     /// # Errors
     ///
     /// It is another's, or can't be believed.
-    pub fn open(mut files: F, identity: &Identity) -> Result<(Self, Kept), Failure> {
+    pub fn open(mut files: F, cluster: &str, member: u64) -> Result<(Self, Kept), Failure> {
         let spoilt = |what: String| Failure::Spoilt(what);
         let io = |name: &str, e: std::io::Error| Failure::Spoilt(format!("{name}: {e}"));
         let mut names = files.list().map_err(|e| io("folder", e))?;
@@ -172,13 +177,13 @@
         let found: Identity = record(&bytes)
             .and_then(|(body, _)| postcard::from_bytes(body).ok())
             .ok_or_else(|| spoilt(format!("{IDENTITY}: no record")))?;
-        if found != *identity {
+        if found.cluster != cluster || found.member != member {
             return Err(Failure::NotOurs(format!(
                 "this folder is member {} of {}",
                 found.member, found.cluster
             )));
         }
-        let mut kept = Kept::default();
+        let mut kept = Kept { born: found.born, ..Kept::default() };
         // A snapshot has its name only once it is whole: one that is spoilt was whole before.
         let Some(latest) = names.iter().rev().find(|n| n.starts_with("snapshot-") && !n.ends_with(".new"))
         else {
--- a/cluster/disk/tests/faults.rs
+++ b/cluster/disk/tests/faults.rs
@@ -86,7 +86,7 @@
 }
 
 fn me() -> Identity {
-    Identity { cluster: "c".to_owned(), member: 1 }
+    Identity { cluster: "c".to_owned(), member: 1, born: 9 }
 }
 
 fn base() -> Meta {
@@ -103,7 +103,7 @@
 }
 
 fn fresh() -> Disk<Memory> {
-    Disk::create(Memory::default(), &me(), &base()).unwrap().0
+    Disk::create(Memory::default(), &me(), &base(), &[]).unwrap().0
 }
 
 /// Cut at every byte, the log holds exactly the writes that are whole, and takes new ones.
@@ -111,35 +111,35 @@
 fn a_cut_file_holds_whole_writes_only() {
     let writes = [write(1, None, 1..4), write(2, Some(3), 3..6), write(2, None, 6..7), write(3, None, 0..0)];
     let mut disk = fresh();
-    let mut whole = vec![(disk.log_bytes(), Disk::open(disk.into_files(), &me()).unwrap().1)];
+    let mut whole = vec![(disk.log_bytes(), Disk::open(disk.into_files(), "c", 1).unwrap().1)];
     let mut files = fresh().into_files();
     for w in &writes {
-        disk = Disk::open(files, &me()).unwrap().0;
+        disk = Disk::open(files, "c", 1).unwrap().0;
         disk.write(std::slice::from_ref(w)).unwrap();
         let bytes = disk.log_bytes();
         files = disk.into_files();
-        whole.push((bytes, Disk::open(files.clone(), &me()).unwrap().1));
+        whole.push((bytes, Disk::open(files.clone(), "c", 1).unwrap().1));
     }
     let log = files.files.keys().find(|n| n.starts_with("log-")).unwrap().clone();
     let all = files.files[&log].clone();
     for cut in 0..=all.len() {
         let mut cut_files = files.clone();
         cut_files.files.insert(log.clone(), all[..cut].to_vec());
-        let (mut disk, kept) = Disk::open(cut_files, &me()).unwrap();
+        let (mut disk, kept) = Disk::open(cut_files, "c", 1).unwrap();
         let (bytes, expected) = whole.iter().rev().find(|(b, _)| *b <= cut).unwrap();
         assert_eq!((kept.hard, &kept.entries), (expected.hard, &expected.entries), "cut at {cut}");
         if *bytes > 0 {
             assert_eq!(kept.cut, cut - bytes);
         }
         disk.write(&[write(9, Some(1), 1..2)]).unwrap();
-        let again = Disk::open(disk.into_files(), &me()).unwrap().1;
+        let again = Disk::open(disk.into_files(), "c", 1).unwrap().1;
         assert_eq!((again.hard.term, again.entries), (9, vec![entry(1, 9)]));
     }
     // A bit that turned in a write that others follow was durable once: it is not cut off, it is told.
     for at in 0..whole[2].0 {
         let mut bent = files.clone();
         bent.files.get_mut(&log).unwrap()[at] ^= 4;
-        assert!(matches!(Disk::open(bent, &me()), Err(Failure::Spoilt(_))), "bit at {at}");
+        assert!(matches!(Disk::open(bent, "c", 1), Err(Failure::Spoilt(_))), "bit at {at}");
     }
 }
 
@@ -150,7 +150,7 @@
     disk.write(&[write(1, None, 1..2)]).unwrap();
     let mut files = disk.into_files();
     files.syncs_fail = true;
-    let mut disk = Disk::open(files, &me()).unwrap().0;
+    let mut disk = Disk::open(files, "c", 1).unwrap().0;
     assert!(matches!(disk.write(&[write(2, None, 2..3)]), Err(Failure::Lost(_))));
     assert!(matches!(disk.write(&[write(2, None, 2..3)]), Err(Failure::Lost(_))));
     assert!(matches!(disk.keep(&base(), b"x"), Err(Failure::Lost(_))));
@@ -164,17 +164,17 @@
         disk.write(&[write(1, None, 1..3)]).unwrap();
         let mut files = disk.into_files();
         files.room = Some(room);
-        let mut disk = Disk::open(files, &me()).unwrap().0;
+        let mut disk = Disk::open(files, "c", 1).unwrap().0;
         let full = disk.write(&[write(2, None, 3..9)]);
         let mut files = disk.into_files();
-        let kept = Disk::open(files.clone(), &me()).unwrap().1;
+        let kept = Disk::open(files.clone(), "c", 1).unwrap().1;
         match full {
             Ok(()) => assert_eq!((kept.hard.term, kept.entries.len()), (2, 8)),
             Err(Failure::Full(_)) => assert_eq!((kept.hard.term, kept.entries.len(), kept.cut), (1, 2, 0)),
             Err(e) => panic!("{e}"),
         }
         files.room = None;
-        let mut disk = Disk::open(files, &me()).unwrap().0;
+        let mut disk = Disk::open(files, "c", 1).unwrap().0;
         let next = kept.entries.len() as u64 + 1;
         disk.write(&[write(3, None, next..next + 1)]).unwrap();
     }
@@ -198,11 +198,11 @@
         let mut files = fresh().into_files();
         files.left = Some(left);
         let mut done = (0, 0);
-        let mut disk = Disk::open(files, &me()).unwrap().0;
+        let mut disk = Disk::open(files, "c", 1).unwrap().0;
         let ended = life(&mut disk, &mut done);
         let mut files = disk.into_files();
         files.left = None;
-        let kept = Disk::open(files, &me()).unwrap_or_else(|e| panic!("after {left}: {e}")).1;
+        let kept = Disk::open(files, "c", 1).unwrap_or_else(|e| panic!("after {left}: {e}")).1;
         let last = kept.entries.last().map_or(kept.base.index, |e| e.index);
         assert!(last >= done.0 && kept.base.index >= done.1, "after {left}: {last} of {done:?}");
         assert_eq!(kept.state.len(), if kept.base.index > 0 { 30 } else { 0 });
@@ -215,17 +215,16 @@
 #[test]
 fn a_folder_is_one_members() {
     let files = fresh().into_files();
-    let other = Identity { member: 2, ..me() };
-    assert!(matches!(Disk::open(files.clone(), &other), Err(Failure::NotOurs(_))));
-    assert!(matches!(Disk::create(files.clone(), &me(), &base()), Err(Failure::NotOurs(_))));
+    assert!(matches!(Disk::open(files.clone(), "c", 2), Err(Failure::NotOurs(_))));
+    assert!(matches!(Disk::create(files.clone(), &me(), &base(), &[]), Err(Failure::NotOurs(_))));
     // Without its mark it is nobody's, and what it holds is not taken for a new member's.
-    let mut disk = Disk::open(files, &me()).unwrap().0;
+    let mut disk = Disk::open(files, "c", 1).unwrap().0;
     disk.write(&[write(1, None, 1..2)]).unwrap();
     let mut files = disk.into_files();
     files.files.remove("member").unwrap();
-    assert!(matches!(Disk::open(files.clone(), &me()), Err(Failure::NotOurs(_))));
-    assert!(matches!(Disk::create(files, &me(), &base()), Err(Failure::NotOurs(_))));
-    assert!(matches!(Disk::open(Memory::default(), &me()), Err(Failure::NotOurs(_))));
+    assert!(matches!(Disk::open(files.clone(), "c", 1), Err(Failure::NotOurs(_))));
+    assert!(matches!(Disk::create(files, &me(), &base(), &[]), Err(Failure::NotOurs(_))));
+    assert!(matches!(Disk::open(Memory::default(), "c", 1), Err(Failure::NotOurs(_))));
 }
 
 /// On the machine's own files: segments follow each other and go, a snapshot of another member replaces the log.
@@ -233,7 +232,7 @@
 fn on_real_files() {
     let path = std::env::temp_dir().join(format!("violetgate-disk-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&path);
-    let (mut disk, _) = Disk::create(Folder::new(&path).unwrap(), &me(), &base()).unwrap();
+    let (mut disk, _) = Disk::create(Folder::new(&path).unwrap(), &me(), &base(), &[]).unwrap();
     let large = |index| Entry { term: 1, index, payload: Payload::Command(vec![7; 3 << 20]) };
     for index in 1..=8 {
         disk.write(&[Write { append: vec![large(index)], ..Write::default() }]).unwrap();
@@ -241,11 +240,11 @@
     let before = disk.log_bytes();
     disk.keep(&Meta { index: 7, term: 1, members: base().members }, b"state").unwrap();
     assert!(disk.log_bytes() < before / 2, "{} of {before}", disk.log_bytes());
-    let (mut disk, kept) = Disk::open(disk.into_files(), &me()).unwrap();
+    let (mut disk, kept) = Disk::open(disk.into_files(), "c", 1).unwrap();
     assert_eq!((kept.base.index, kept.state, kept.entries.len()), (7, b"state".to_vec(), 1));
     disk.install(&Meta { index: 90, term: 4, members: base().members }, b"theirs", &[]).unwrap();
     disk.write(&[Write { append: vec![entry(91, 4)], ..Write::default() }]).unwrap();
-    let kept = Disk::open(disk.into_files(), &me()).unwrap().1;
+    let kept = Disk::open(disk.into_files(), "c", 1).unwrap().1;
     assert_eq!((kept.base.index, kept.state, kept.entries), (90, b"theirs".to_vec(), vec![entry(91, 4)]));
     std::fs::remove_dir_all(&path).unwrap();
 }
--- a/cluster/member/src/lib.rs
+++ b/cluster/member/src/lib.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
 use violetgate_consensus::{
     Action, Change, Config, Entry, Hard, Index, Members, Message, Meta, Node, NodeId, Payload, Rejected,
     Role, Term, Write,
@@ -38,7 +39,7 @@
 const WAITING: usize = 10_000;
 
 /// How a call ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// The command was agreed on and carried out, here too.
     Done(Outcome),
--- a/cluster/member/tests/linearizable.rs
+++ b/cluster/member/tests/linearizable.rs
@@ -11,6 +11,7 @@
 use rand_chacha::ChaCha8Rng;
 use violetgate_consensus::{Members, Message, Meta, NodeId, Write};
 use violetgate_disk::{Disk, Files, Identity};
+use violetgate_linear::{fits, Call, Deed};
 use violetgate_member::{Answer, Effect, Found, Manner, Member};
 use violetgate_state::{Check, Micros, Op, Outcome, Step, Txn};
 
@@ -63,25 +64,6 @@
     tick_at: Micros,
 }
 
-/// What a client does to a key.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-enum Call {
-    Put(u8),
-    /// From, to, and whether it did.
-    Cas(u8, u8, Option<bool>),
-    /// What it saw.
-    Get(Option<u8>),
-}
-
-#[derive(Debug, Clone)]
-struct Deed {
-    key: u64,
-    call: Call,
-    began: Micros,
-    /// `None`: its fate is not known, and it may take effect at any time after it began.
-    ended: Option<Micros>,
-}
-
 struct Client {
     deed: Option<(Deed, u64, NodeId)>,
     serial: u64,
@@ -120,7 +102,7 @@
 }
 
 fn identity(member: NodeId) -> Identity {
-    Identity { cluster: "c".to_owned(), member }
+    Identity { cluster: "c".to_owned(), member, born: 0 }
 }
 
 fn key(n: u64) -> String {
@@ -146,7 +128,7 @@
         };
         let base = Meta { members: Members::first(1..=3), ..Meta::default() };
         for id in 1..=3 {
-            let (disk, _) = Disk::create(Memory::default(), &identity(id), &base).unwrap();
+            let (disk, _) = Disk::create(Memory::default(), &identity(id), &base, &[]).unwrap();
             let server =
                 Server { member: None, disk: Some(disk), waiting: vec![], paused: 0, starts: 0, tick_at: 0 };
             world.servers.insert(id, server);
@@ -171,7 +153,7 @@
         let (now, seed) = (self.now, self.draw(u64::MAX));
         let server = self.servers.get_mut(&id).unwrap();
         let files = server.disk.take().unwrap().into_files();
-        let (disk, kept) = Disk::open(files, &identity(id)).unwrap();
+        let (disk, kept) = Disk::open(files, "c", id).unwrap();
         let found = Found { hard: kept.hard, base: kept.base, state: kept.state, entries: kept.entries };
         server.member = Some(Member::new(id, manner(), seed, found, now).unwrap());
         (server.disk, server.starts, server.tick_at) = (Some(disk), server.starts + 1, Micros::MAX);
@@ -305,8 +287,8 @@
         if self.clients[n].deed.is_none() {
             let (key, old, new) = (self.draw(KEYS), self.draw(4) as u8, self.draw(4) as u8);
             let call = match self.draw(3) {
-                0 => Call::Put(new),
-                1 => Call::Cas(old, new, None),
+                0 => Call::Put(new.into()),
+                1 => Call::Cas(old.into(), new.into(), None),
                 _ => Call::Get(None),
             };
             let deed = Deed { key, call, began: self.now, ended: None };
@@ -320,11 +302,11 @@
         let (ticket, request) = ((n as u64) << 32 | serial, format!("{n}-{serial}"));
         let again = 150 * MS + self.draw(200 * MS);
         self.after(again, What::Client(n));
-        let put = |value: u8| Op::Put { key: key(deed.key), value: vec![value], lease: None };
+        let put = |value: u64| Op::Put { key: key(deed.key), value: vec![value as u8], lease: None };
         let txn = match deed.call {
             Call::Put(value) => Some(Txn { then: vec![put(value)], ..Txn::default() }),
             Call::Cas(old, new, _) => {
-                let checks = vec![Check::Holds(key(deed.key), vec![old])];
+                let checks = vec![Check::Holds(key(deed.key), vec![old as u8])];
                 Some(Txn { checks, then: vec![put(new)], otherwise: vec![] })
             }
             Call::Get(_) => None,
@@ -410,7 +392,7 @@
         let now = self.now;
         let value = |deed: &Deed| {
             let store = self.servers[&id].member.as_ref().unwrap().store();
-            store.get(&key(deed.key)).map(|(_, v)| v[0])
+            store.get(&key(deed.key)).map(|(_, v)| u64::from(v[0]))
         };
         let Some((deed, mine, at)) = self.clients[n].deed.clone() else { return };
         if mine != serial {
@@ -456,34 +438,6 @@
     }
 }
 
-/// Whether the deeds at one key fit one order: each takes effect at some moment between its beginning and its end.
-fn fits(deeds: &[Deed]) -> bool {
-    fn go(deeds: &[Deed], done: u128, value: Option<u8>, seen: &mut HashSet<(u128, Option<u8>)>) -> bool {
-        let open = |n: usize| done >> n & 1 == 0;
-        if !(0..deeds.len()).any(|n| open(n) && deeds[n].ended.is_some()) {
-            return true;
-        }
-        if !seen.insert((done, value)) {
-            return false;
-        }
-        // The next one can't have begun after another had ended that is still to come.
-        let end = (0..deeds.len()).filter(|n| open(*n)).filter_map(|n| deeds[n].ended).min();
-        (0..deeds.len()).filter(|n| open(*n) && end.is_none_or(|e| deeds[*n].began <= e)).any(|n| {
-            let next = match deeds[n].call {
-                Call::Put(new) => Some(Some(new)),
-                Call::Cas(old, new, held) => {
-                    let holds = value == Some(old);
-                    held.is_none_or(|h| h == holds).then_some(if holds { Some(new) } else { value })
-                }
-                Call::Get(got) => (got == value).then_some(value),
-            };
-            next.is_some_and(|next| go(deeds, done | 1 << n, next, seen))
-        })
-    }
-    assert!(deeds.len() <= 128);
-    go(deeds, 0, None, &mut HashSet::new())
-}
-
 fn play(seed: u64, gate: bool) -> [u64; 3] {
     let mut world = World::new(seed, gate);
     while world.now < 16 * SECOND {
@@ -491,10 +445,7 @@
     }
     (0..CLIENTS).for_each(|n| world.over(n, None));
     for k in 0..KEYS {
-        // What the checker takes: the first of each key, cut at a moment by beginnings.
-        let mut deeds: Vec<Deed> = world.history.iter().filter(|d| d.key == k).cloned().collect();
-        deeds.sort_by_key(|d| d.began);
-        deeds.truncate(128);
+        let deeds = violetgate_linear::first(&world.history, k);
         assert!(fits(&deeds), "key {k} is not linearizable: {deeds:#?}");
     }
     [world.history.iter().filter(|d| d.ended.is_some()).count() as u64, world.routed, world.stale]
@@ -514,20 +465,9 @@
     assert!(std::env::var("SEED").is_ok() || sums.iter().all(|s| *s > 1_000), "too little happens: {sums:?}");
 }
 
-/// The checks notice a member that routes whatever the gate says, and a history that fits no order.
+/// The checks notice a member that routes whatever the gate says.
 #[test]
 fn the_checks_notice_what_is_wrong() {
     let noticed = (0..60).any(|seed| std::panic::catch_unwind(|| play(seed, false)).is_err());
     assert!(noticed, "nobody notices that the gate is left out");
-    let deed = |call, began, ended| Deed { key: 0, call, began, ended: Some(ended) };
-    let stale = [deed(Call::Put(1), 0, 1), deed(Call::Put(2), 2, 3), deed(Call::Get(Some(1)), 4, 5)];
-    assert!(!fits(&stale) && fits(&stale[..2]));
-    let mut both = vec![deed(Call::Cas(1, 2, Some(true)), 2, 9), deed(Call::Cas(1, 3, Some(true)), 2, 9)];
-    both.push(deed(Call::Put(1), 0, 1));
-    assert!(!fits(&both));
-    // One whose fate is not known may have taken effect, or not.
-    let unknown = Deed { ended: None, ..deed(Call::Put(7), 2, 0) };
-    for seen in [1, 7] {
-        assert!(fits(&[deed(Call::Put(1), 0, 1), unknown.clone(), deed(Call::Get(Some(seen)), 5, 6)]));
-    }
 }
--- a/cluster/node/src/lib.rs
+++ b/cluster/node/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod transport;
 mod wire;
 
-pub use runtime::{Answered, Cluster, Options, Status};
+pub use runtime::{Answered, Beginning, Cluster, OnApplied, Options, Status};
+pub use wire::{Call, Frame};
--- a/cluster/node/src/runtime.rs
+++ b/cluster/node/src/runtime.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::future::poll_fn;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::sync::mpsc;
@@ -18,14 +18,20 @@
 use violetgate_consensus::{Change, Entry, Index, Members, Meta, NodeId, Rejected, Role, Term, Write};
 use violetgate_disk::{Disk, Failure, Folder, Identity};
 use violetgate_member::{Answer, Effect, Found, Manner, Member, Ticket};
-use violetgate_state::{Micros, Stale, Step, Store};
+use violetgate_state::{Micros, Revision, Stale, Step, Store};
 
 use crate::transport::Transport;
+use crate::wire::{Call, Frame};
 
 /// How long a full disk is left alone before the same is tried again.
 const FULL: Duration = Duration::from_millis(200);
 /// How often a call that got no answer is made again, under the same request id.
 const AGAIN: Duration = Duration::from_millis(150);
+/// How long one try of a call to be agreed on may take before it is made again, and the pause between two.
+const TRY: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(20);
+/// Calls of other members that are carried out at a time; more are turned away, and come again.
+const MOST_ASKED: usize = 1_000;
 
 /// What a member is told at its start.
 #[derive(Debug, Clone)]
@@ -40,8 +46,6 @@
     pub listen: SocketAddr,
     /// All members that are known, with their addresses.
     pub members: BTreeMap<NodeId, SocketAddr>,
-    /// Where the folder is nobody's yet: the first members of a new cluster, or none for one that joins another.
-    pub bootstrap: Option<Vec<NodeId>>,
     /// How it behaves.
     pub manner: Manner,
     /// For random numbers.
@@ -65,6 +69,8 @@
     pub applied: Index,
     /// The members.
     pub members: Members,
+    /// The store's revision, as it is applied here.
+    pub revision: Revision,
     /// Whether state may be routed on, or how old it is.
     pub fresh: Result<(), Stale>,
     /// For a leader, what each other member is known to have.
@@ -80,6 +86,15 @@
     Late,
 }
 
+/// What begins a member's folder.
+#[derive(Debug, Clone)]
+pub struct Beginning {
+    /// The first members, or none for one that joins a cluster that runs.
+    pub members: Vec<NodeId>,
+    /// A saved state to begin with; empty: nothing.
+    pub state: Vec<u8>,
+}
+
 enum Job {
     Write(Vec<Write>),
     Keep(Meta, Vec<u8>),
@@ -100,11 +115,22 @@
     waker: RefCell<Option<Waker>>,
 }
 
+/// What is called with the store once more is applied to it.
+pub type OnApplied = Rc<dyn Fn(&Store)>;
+
 /// A member at work.
 pub struct Cluster {
     me: Weak<Cluster>,
     member: RefCell<Member>,
+    born: u64,
     transport: Rc<Transport>,
+    executor: Rc<LocalExecutor<'static>>,
+    /// Called in the very turn in which more is applied, before anything else can be decided on it.
+    applied: RefCell<Option<OnApplied>>,
+    told: Cell<Index>,
+    /// Calls that other members carry out for this one, and how many this one carries out for others.
+    asked: RefCell<BTreeMap<u64, Rc<Slot>>>,
+    carrying: Cell<usize>,
     jobs: mpsc::Sender<Job>,
     waiting: RefCell<BTreeMap<Ticket, Rc<Slot>>>,
     next: Cell<Ticket>,
@@ -129,26 +155,40 @@
 }
 
 impl Cluster {
-    /// Opens a member's disk, or makes it, and begins to take part.
+    /// Makes a member's folder. It is done once: a folder that is lost can't be made again under the same id, as its
+    /// promises are lost with it.
+    ///
+    /// # Errors
+    ///
+    /// The folder is somebody's already, or can't be written.
+    pub fn begin(cluster: &str, id: NodeId, folder: &Path, born: u64, from: Beginning) -> Result<(), String> {
+        let place = folder.display();
+        let files = Folder::new(folder).map_err(|e| format!("{place}: {e}"))?;
+        let identity = Identity { cluster: cluster.to_owned(), member: id, born };
+        // A state to begin with is the first entry, so that one that has nothing is sent it.
+        let index = Index::from(!from.state.is_empty());
+        let base = match from.members {
+            members if members.is_empty() => Meta::default(),
+            members => Meta { index, members: Members::first(members), ..Meta::default() },
+        };
+        if !from.state.is_empty() {
+            Store::load(&from.state).map_err(|e| format!("this is no saved state: {e}"))?;
+        }
+        Disk::create(files, &identity, &base, &from.state).map_err(|e| format!("{place}: {e}"))?;
+        Ok(())
+    }
+
+    /// Opens a member's disk and begins to take part.
     ///
     /// # Errors
     ///
     /// Its folder or its address can't be used; the text says why.
     pub fn start(executor: &Rc<LocalExecutor<'static>>, options: &Options) -> Result<Rc<Self>, String> {
-        let Options { cluster, id, folder, listen, members, bootstrap, manner, seed } = options.clone();
+        let Options { cluster, id, folder, listen, members, manner, seed } = options.clone();
         let place = folder.display().to_string();
         let files = || Folder::new(&folder).map_err(|e| format!("{place}: {e}"));
-        let identity = Identity { cluster: cluster.clone(), member: id };
-        let fresh = !folder.join("member").exists();
-        let opened = match bootstrap {
-            Some(first) if fresh => {
-                let base = Meta { members: Members::first(first), ..Meta::default() };
-                Disk::create(files()?, &identity, &base)
-            }
-            None if fresh => Disk::create(files()?, &identity, &Meta::default()),
-            _ => Disk::open(files()?, &identity),
-        };
-        let (disk, kept) = opened.map_err(|e| format!("{place}: {e}"))?;
+        let (disk, kept) = Disk::open(files()?, &cluster, id).map_err(|e| format!("{place}: {e}"))?;
+        let born = kept.born;
         if kept.cut > 0 {
             tracing::info!("cluster cut {} bytes of a write that was under way off {place}", kept.cut);
         }
@@ -163,15 +203,21 @@
             .map_err(|e| format!("a thread for the disk: {e}"))?;
         let me = Rc::new_cyclic(|me: &Weak<Cluster>| {
             let of = me.clone();
-            let incoming = Box::new(move |from, message| {
+            let incoming = Box::new(move |from, frame| {
                 if let Some(cluster) = of.upgrade() {
-                    cluster.with(|m| m.step(from, message));
+                    cluster.hear(from, frame);
                 }
             });
             Cluster {
                 me: me.clone(),
+                told: Cell::new(member.applied()),
                 member: RefCell::new(member),
-                transport: Transport::new(Rc::clone(executor), &cluster, id, incoming),
+                born,
+                transport: Transport::new(Rc::clone(executor), &cluster, id, born, incoming),
+                executor: Rc::clone(executor),
+                applied: RefCell::default(),
+                asked: RefCell::default(),
+                carrying: Cell::new(0),
                 jobs,
                 waiting: RefCell::default(),
                 next: Cell::new(0),
@@ -214,7 +260,6 @@
         if self.lost.borrow().is_some() {
             return;
         }
-        let applied = self.member.borrow().applied();
         let mut writes = Vec::new();
         loop {
             let effects = self.member.borrow_mut().effects();
@@ -225,7 +270,7 @@
                 match effect {
                     // All of a turn is one job, and one sync.
                     Effect::Write(write) => writes.push(write),
-                    Effect::Send(to, message) => self.transport.send(to, &message),
+                    Effect::Send(to, message) => self.transport.send(to, &Frame::Core(message)),
                     Effect::Answer(ticket, answer) => self.answer(ticket, answer),
                     Effect::Keep(meta, state) => {
                         self.job(Job::Write(std::mem::take(&mut writes)));
@@ -241,7 +286,9 @@
         }
         self.job(Job::Write(writes));
         let member = self.member.borrow();
-        if member.applied() != applied {
+        if self.told.replace(member.applied()) != member.applied() {
+            let applied = self.applied.borrow().clone();
+            applied.into_iter().for_each(|f| f(member.store()));
             self.watchers.borrow_mut().drain(..).for_each(Waker::wake);
         }
         if member.next_tick() < self.armed.get() {
@@ -264,33 +311,139 @@
 
     fn answer(&self, ticket: Ticket, answer: Answer) {
         let slot = self.waiting.borrow().get(&ticket).cloned();
-        if let Some(slot) = slot {
-            *slot.answer.borrow_mut() = Some(answer);
-            slot.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+        slot.into_iter().for_each(|slot| slot.fill(answer.clone()));
+    }
+
+    /// What another member says.
+    fn hear(&self, from: NodeId, frame: Frame) {
+        match frame {
+            Frame::Core(message) => self.with(|m| m.step(from, message)),
+            Frame::Told(number, answer) => {
+                let slot = self.asked.borrow().get(&number).cloned();
+                slot.into_iter().for_each(|slot| slot.fill(answer.clone()));
+            }
+            Frame::Ask(number, _) if self.carrying.get() >= MOST_ASKED => {
+                self.transport.send(from, &Frame::Told(number, Answer::Rejected(Rejected::Busy)));
+            }
+            Frame::Ask(number, call) => {
+                let Some(me) = self.me.upgrade() else { return };
+                self.carrying.set(self.carrying.get() + 1);
+                let carried = async move {
+                    // One that gets no answer asks again.
+                    if let Answered::Yes(answer) = me.here(call, TRY).await {
+                        me.transport.send(from, &Frame::Told(number, answer));
+                    }
+                    me.carrying.set(me.carrying.get() - 1);
+                };
+                self.executor.spawn(carried).detach();
+            }
         }
     }
 
+    fn ticket(&self) -> Ticket {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
+    }
+
     /// Makes one call, and waits for its answer for so long at most.
     async fn call(&self, within: Duration, act: impl FnOnce(&mut Member, Ticket)) -> Answered {
-        let ticket = self.next.get() + 1;
-        self.next.set(ticket);
+        let ticket = self.ticket();
         let slot = Rc::new(Slot::default());
         self.waiting.borrow_mut().insert(ticket, Rc::clone(&slot));
         // Whichever way this ends, nobody waits for it any more: also where its future is dropped.
         let _forget = Forget(self, ticket);
         self.with(|m| act(m, ticket));
-        let answered = poll_fn(|cx| match slot.answer.borrow_mut().take() {
-            Some(answer) => Poll::Ready(Answered::Yes(answer)),
-            None => {
-                *slot.waker.borrow_mut() = Some(cx.waker().clone());
-                Poll::Pending
+        slot.filled(within).await
+    }
+
+    /// Carries a call out here, if this member leads.
+    async fn here(&self, call: Call, within: Duration) -> Answered {
+        match call {
+            Call::Propose { request, who, step } => self.propose(Some(request), &who, step, within).await,
+            Call::Change(change) => self.change(change, within).await,
+            Call::Transfer(to) => Answered::Yes(match self.transfer(to) {
+                Ok(()) => Answer::Changed,
+                Err(Rejected::NotLeader) => Answer::NotLeader(self.status().leader),
+                Err(why) => Answer::Rejected(why),
+            }),
+        }
+    }
+
+    /// Has another member carry a call out.
+    async fn there(&self, to: NodeId, call: Call, within: Duration) -> Answered {
+        let number = self.ticket();
+        let slot = Rc::new(Slot::default());
+        self.asked.borrow_mut().insert(number, Rc::clone(&slot));
+        let _forget = Unask(self, number);
+        self.transport.send(to, &Frame::Ask(number, call));
+        // One that is no longer held for the leader won't answer, or another one can sooner.
+        let deposed = async {
+            while self.member.borrow().node().leader() == Some(to) {
+                Timer::after(PAUSE / 2).await;
             }
-        });
-        let late = async {
-            Timer::after(within).await;
             Answered::Late
         };
-        answered.or(late).await
+        slot.filled(within).or(deposed).await
+    }
+
+    /// Has a call agreed on, whoever leads: asked again, under its one request id, until its fate is known or its
+    /// time is over. [`Answered::Late`]: it may still come to be; the same call again tells.
+    pub async fn agree(&self, call: Call, within: Duration) -> Answered {
+        let until = Instant::now() + within;
+        let mut unsure = false;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() || self.lost.borrow().is_some() {
+                return Answered::Late;
+            }
+            let Status { id, role, leader, .. } = self.status();
+            let answered = match leader {
+                _ if role == Role::Leader => self.here(call.clone(), left.min(TRY)).await,
+                Some(leader) if leader != id => self.there(leader, call.clone(), left.min(TRY)).await,
+                _ => Answered::Yes(Answer::NotLeader(None)),
+            };
+            match answered {
+                Answered::Late | Answered::Yes(Answer::Unsure) => unsure = true,
+                Answered::Yes(
+                    Answer::NotLeader(_) | Answer::Rejected(Rejected::Busy | Rejected::Pending),
+                ) => {}
+                // A step that was taken by an earlier try can't be taken again.
+                Answered::Yes(Answer::Rejected(_)) if unsure && self.taken(&call) => {
+                    return Answered::Yes(Answer::Changed);
+                }
+                told => return told,
+            }
+            Timer::after(PAUSE.min(left)).await;
+        }
+    }
+
+    fn taken(&self, call: &Call) -> bool {
+        let member = self.member.borrow();
+        let members = member.members();
+        match call {
+            Call::Change(Change::Add(id)) => members.contains(*id),
+            Call::Change(Change::Promote(id)) => members.voters.contains(id),
+            Call::Change(Change::Remove(id)) => !members.contains(*id),
+            Call::Propose { .. } | Call::Transfer(_) => false,
+        }
+    }
+
+    /// What was drawn when this member's disk was made.
+    #[must_use]
+    pub fn born(&self) -> u64 {
+        self.born
+    }
+
+    /// Names what is called in the very turn in which more is applied; it is called at once, too.
+    pub fn on_applied(&self, f: OnApplied) {
+        f(self.member.borrow().store());
+        *self.applied.borrow_mut() = Some(f);
+    }
+
+    /// The whole state as bytes, to be saved.
+    #[must_use]
+    pub fn save(&self) -> Vec<u8> {
+        self.member.borrow().store().save()
     }
 
     /// Proposes a command here, once. `request` makes it safe to ask again.
@@ -379,12 +532,44 @@
             commit: node.commit(),
             applied: member.applied(),
             members: member.members().clone(),
+            revision: member.store().revision(),
             fresh: member.may_route(boot()),
             progress: node.progress(),
         }
     }
 }
 
+impl Slot {
+    fn fill(&self, answer: Answer) {
+        *self.answer.borrow_mut() = Some(answer);
+        self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+    }
+
+    async fn filled(&self, within: Duration) -> Answered {
+        let answered = poll_fn(|cx| match self.answer.borrow_mut().take() {
+            Some(answer) => Poll::Ready(Answered::Yes(answer)),
+            None => {
+                *self.waker.borrow_mut() = Some(cx.waker().clone());
+                Poll::Pending
+            }
+        });
+        let late = async {
+            Timer::after(within).await;
+            Answered::Late
+        };
+        answered.or(late).await
+    }
+}
+
+/// Takes a question back that nobody waits for.
+struct Unask<'a>(&'a Cluster, u64);
+
+impl Drop for Unask<'_> {
+    fn drop(&mut self) {
+        self.0.asked.borrow_mut().remove(&self.1);
+    }
+}
+
 /// Takes a call back that nobody waits for.
 struct Forget<'a>(&'a Cluster, Ticket);
 
@@ -427,7 +612,6 @@
             Done::Full(what) => tracing::info!("cluster can't write for now: {what}"),
             Done::Lost(what) => cluster.lose(what),
         }
-        let _ = &cluster.me;
     }
 }
 
--- a/cluster/node/src/transport.rs
+++ b/cluster/node/src/transport.rs
@@ -13,9 +13,9 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::{future, FutureExt};
-use violetgate_consensus::{Message, NodeId};
+use violetgate_consensus::NodeId;
 
-use crate::wire::{self, Hello, Welcome};
+use crate::wire::{self, Frame, Hello, Welcome};
 
 /// Bytes that wait for one member.
 const QUEUE: usize = 32 << 20;
@@ -31,7 +31,7 @@
 const MOST: usize = 64;
 
 /// Where messages that come are told.
-pub type Incoming = Box<dyn Fn(NodeId, Message)>;
+pub type Incoming = Box<dyn Fn(NodeId, Frame)>;
 
 #[derive(Default)]
 struct Queue {
@@ -52,6 +52,9 @@
     executor: Rc<LocalExecutor<'static>>,
     cluster: String,
     id: NodeId,
+    born: u64,
+    /// By what numbers the disks of members go, as far as it is agreed on.
+    disks: RefCell<BTreeMap<NodeId, u64>>,
     peers: RefCell<BTreeMap<NodeId, Peer>>,
     incoming: Incoming,
     /// Connections of others, by number, and the numbers of those that have ended. They end with this transport.
@@ -70,6 +73,7 @@
         executor: Rc<LocalExecutor<'static>>,
         cluster: &str,
         id: NodeId,
+        born: u64,
         incoming: Incoming,
     ) -> Rc<Self> {
         Rc::new_cyclic(|me| Transport {
@@ -77,6 +81,8 @@
             executor,
             cluster: cluster.to_owned(),
             id,
+            born,
+            disks: RefCell::default(),
             peers: RefCell::default(),
             incoming,
             heard: RefCell::default(),
@@ -102,6 +108,12 @@
         }
     }
 
+    /// Names the disks of members: one that comes with another disk is turned away, as it may have forgotten what
+    /// it promised.
+    pub fn disks(&self, known: BTreeMap<NodeId, u64>) {
+        *self.disks.borrow_mut() = known;
+    }
+
     /// Messages dropped so far, as their queue was full.
     #[must_use]
     pub fn dropped(&self) -> u64 {
@@ -114,7 +126,7 @@
     }
 
     /// Sends a message, if there is room for it.
-    pub fn send(&self, to: NodeId, message: &Message) {
+    pub fn send(&self, to: NodeId, message: &Frame) {
         if self.cut.borrow().contains(&to) {
             return;
         }
@@ -172,11 +184,14 @@
         Ok(hello) => hello,
         Err(reason) => return reason.to_owned(),
     };
-    let Some(refused) = of.upgrade().map(|t| hello.refused(&t.cluster, t.id)) else {
+    let Some((refused, born)) = of.upgrade().map(|t| {
+        let known = t.disks.borrow().get(&hello.from).copied();
+        (hello.refused(&t.cluster, t.id, known), t.born)
+    }) else {
         return "stopped".to_owned();
     };
     let mut answer = Vec::new();
-    wire::put(&mut answer, &Welcome { refused: refused.clone() });
+    wire::put(&mut answer, &Welcome { refused: refused.clone(), born });
     if let Err(reason) = write(stream, &answer).await {
         return reason.to_owned();
     }
@@ -184,11 +199,15 @@
         return format!("refused: {why}");
     }
     loop {
-        let message = match frame::<Message>(stream, &mut input, wire::LONGEST).await {
+        let message = match frame::<Frame>(stream, &mut input, wire::LONGEST).await {
             Ok(message) => message,
             Err(reason) => return reason.to_owned(),
         };
         let Some(transport) = of.upgrade() else { return "stopped".to_owned() };
+        // It may have become known that this member's disk is another one.
+        if transport.disks.borrow().get(&hello.from).is_some_and(|born| *born != hello.born) {
+            return format!("refused: member {} had another disk", hello.from);
+        }
         if !transport.cut.borrow().contains(&hello.from) {
             (transport.incoming)(hello.from, message);
         }
@@ -200,11 +219,11 @@
     let (mut pause, mut told) = (PAUSE, String::new());
     loop {
         let hello = match of.upgrade() {
-            Some(transport) => Hello::new(&transport.cluster, transport.id, id),
+            Some(transport) => Hello::new(&transport.cluster, transport.id, id, transport.born),
             None => return,
         };
         let mut greeted = false;
-        let reason = talk(&hello, addr, &queue, &mut greeted).await;
+        let reason = talk(&of, &hello, addr, &queue, &mut greeted).await;
         if greeted || reason != told {
             tracing::info!("member {id} at {addr} ended reason={reason}");
         }
@@ -217,7 +236,13 @@
     }
 }
 
-async fn talk(hello: &Hello, addr: SocketAddr, queue: &Queue, greeted: &mut bool) -> String {
+async fn talk(
+    of: &Weak<Transport>,
+    hello: &Hello,
+    addr: SocketAddr,
+    queue: &Queue,
+    greeted: &mut bool,
+) -> String {
     let connect = async { Async::<TcpStream>::connect(addr).await.map_err(|_| "connect_error") };
     let stream = match connect.or(late("connect_timeout", CONNECT)).await {
         Ok(stream) => stream,
@@ -233,8 +258,14 @@
     let welcome =
         frame::<Welcome>(&stream, &mut input, wire::GREETING).or(late("greeting_timeout", GREET)).await;
     match welcome {
-        Ok(Welcome { refused: None }) => *greeted = true,
-        Ok(Welcome { refused: Some(why) }) => return format!("refused: {why}"),
+        Ok(Welcome { refused: None, born }) => {
+            let known = of.upgrade().and_then(|t| t.disks.borrow().get(&hello.to).copied());
+            if known.is_some_and(|known| known != born) {
+                return format!("refused: member {} had another disk", hello.to);
+            }
+            *greeted = true;
+        }
+        Ok(Welcome { refused: Some(why), .. }) => return format!("refused: {why}"),
         Err(reason) => return reason.to_owned(),
     }
     loop {
--- a/cluster/node/src/wire.rs
+++ b/cluster/node/src/wire.rs
@@ -2,7 +2,9 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
-use violetgate_consensus::NodeId;
+use violetgate_consensus::{Change, Message, NodeId};
+use violetgate_member::Answer;
+use violetgate_state::Step;
 
 /// The version of this protocol. A member of another one is turned away, and says so in its log.
 pub const VERSION: u16 = 1;
@@ -13,6 +15,35 @@
 /// Bytes before a frame: its length.
 pub const HEAD: usize = 4;
 
+/// What a member may be asked to agree on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Call {
+    /// A command. Its request id makes it safe to ask again.
+    Propose {
+        /// The request's id.
+        request: String,
+        /// Who asks.
+        who: String,
+        /// What for.
+        step: Step,
+    },
+    /// A step of the membership.
+    Change(Change),
+    /// Leadership is to be handed over.
+    Transfer(NodeId),
+}
+
+/// What stands in a frame after the greeting.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Frame {
+    /// Of the consensus.
+    Core(Message),
+    /// A client of the sender asks for this; the sender's number for it.
+    Ask(u64, Call),
+    /// How what goes by that number ended.
+    Told(u64, Answer),
+}
+
 /// What the one that connects says first.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Hello {
@@ -26,6 +57,8 @@
     pub from: NodeId,
     /// Whom it means to reach.
     pub to: NodeId,
+    /// What was drawn when the disk of the one that connects was made.
+    pub born: u64,
 }
 
 /// The answer.
@@ -33,18 +66,21 @@
 pub struct Welcome {
     /// Why not; nothing: frames may follow.
     pub refused: Option<String>,
+    /// What was drawn when this member's disk was made.
+    pub born: u64,
 }
 
 impl Hello {
     /// A greeting.
     #[must_use]
-    pub fn new(cluster: &str, from: NodeId, to: NodeId) -> Self {
-        Hello { magic: *b"VGCL", version: VERSION, cluster: cluster.to_owned(), from, to }
+    pub fn new(cluster: &str, from: NodeId, to: NodeId, born: u64) -> Self {
+        Hello { magic: *b"VGCL", version: VERSION, cluster: cluster.to_owned(), from, to, born }
     }
 
-    /// Why one that greets like this is turned away by this member.
+    /// Why one that greets like this is turned away by this member, which knows by what number the disk of that
+    /// member goes, if it does.
     #[must_use]
-    pub fn refused(&self, cluster: &str, me: NodeId) -> Option<String> {
+    pub fn refused(&self, cluster: &str, me: NodeId, known: Option<u64>) -> Option<String> {
         if self.magic != *b"VGCL" {
             Some("this is no member".to_owned())
         } else if self.version != VERSION {
@@ -55,6 +91,8 @@
             Some(format!("it looks for member {}, this is {me}", self.to))
         } else if self.from == me {
             Some(format!("it has this member's id, {me}"))
+        } else if known.is_some_and(|born| born != self.born) {
+            Some(format!("member {} had another disk: it may have forgotten its votes", self.from))
         } else {
             None
         }
@@ -93,42 +131,44 @@
 #[allow(clippy::unwrap_used, clippy::indexing_slicing)]
 mod tests {
     use super::*;
-    use violetgate_consensus::{Entry, Message, Payload};
+    use violetgate_consensus::{Entry, Payload};
 
     /// A frame is the same wherever it is cut; what is no frame is told apart from one that is not whole.
     #[test]
     fn frames_come_in_any_pieces() {
         let entries = vec![Entry { term: 3, index: 9, payload: Payload::Command(vec![5; 40]) }];
-        let message = Message::Append { term: 3, prev: (2, 8), entries, commit: 7, round: 11 };
+        let message = Frame::Core(Message::Append { term: 3, prev: (2, 8), entries, commit: 7, round: 11 });
+        let next = Frame::Told(4, Answer::Changed);
         let mut bytes = Vec::new();
-        assert!(put(&mut bytes, &message) && put(&mut bytes, &Message::Read { ctx: 4 }));
+        assert!(put(&mut bytes, &message) && put(&mut bytes, &next));
         for cut in 0..bytes.len() {
-            let read = take::<Message>(&bytes[..cut], LONGEST).unwrap();
+            let read = take::<Frame>(&bytes[..cut], LONGEST).unwrap();
             assert!(read.is_none_or(|(m, size)| m == message && size <= cut));
         }
-        let (_, size) = take::<Message>(&bytes, LONGEST).unwrap().unwrap();
-        assert_eq!(take::<Message>(&bytes[size..], LONGEST).unwrap().unwrap().0, Message::Read { ctx: 4 });
-        assert!(take::<Message>(&bytes, 10).is_err());
+        let (_, size) = take::<Frame>(&bytes, LONGEST).unwrap().unwrap();
+        assert_eq!(take::<Frame>(&bytes[size..], LONGEST).unwrap().unwrap().0, next);
+        assert!(take::<Frame>(&bytes, 10).is_err());
         for at in 4..12 {
             let mut bent = bytes.clone();
             bent[at] ^= 0x55;
-            let _ = take::<Message>(&bent, LONGEST);
+            let _ = take::<Frame>(&bent, LONGEST);
         }
     }
 
     /// Who is turned away, and why.
     #[test]
     fn strangers_are_turned_away() {
-        let hello = Hello::new("c", 2, 1);
-        assert_eq!(hello.refused("c", 1), None);
+        let hello = Hello::new("c", 2, 1, 5);
+        assert_eq!(hello.refused("c", 1, Some(5)), None);
         for (hello, says) in [
             (Hello { magic: *b"GET ", ..hello.clone() }, "no member"),
             (Hello { version: 9, ..hello.clone() }, "version 9"),
             (Hello { cluster: "d".to_owned(), ..hello.clone() }, "cluster \"d\""),
             (Hello { to: 3, ..hello.clone() }, "looks for member 3"),
-            (Hello { from: 1, ..hello }, "this member's id"),
+            (Hello { from: 1, ..hello.clone() }, "this member's id"),
+            (Hello { born: 6, ..hello }, "another disk"),
         ] {
-            assert!(hello.refused("c", 1).unwrap().contains(says));
+            assert!(hello.refused("c", 1, Some(5)).unwrap().contains(says));
         }
     }
 }
--- a/cluster/node/tests/three.rs
+++ b/cluster/node/tests/three.rs
@@ -9,7 +9,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use violetgate_cluster::{Answered, Cluster, Options};
+use violetgate_cluster::{Answered, Beginning, Call, Cluster, Options};
 use violetgate_consensus::{Change, NodeId, Role};
 use violetgate_member::{Answer, Manner};
 use violetgate_state::{Op, Outcome, Step, Txn};
@@ -38,21 +38,27 @@
         Three { executor: Rc::new(LocalExecutor::new()), folder, addrs, members: BTreeMap::new() }
     }
 
-    fn options(&self, id: NodeId, bootstrap: Option<Vec<NodeId>>) -> Options {
+    fn options(&self, id: NodeId) -> Options {
         Options {
             cluster: "test".to_owned(),
             id,
             folder: self.folder.join(id.to_string()),
             listen: self.addrs[&id],
             members: self.addrs.clone(),
-            bootstrap,
             manner: Manner { snapshot_every: 50, ..Manner::default() },
             seed: 7 + id,
         }
     }
 
-    fn start(&mut self, id: NodeId, bootstrap: Option<Vec<NodeId>>) {
-        let options = self.options(id, bootstrap);
+    /// Makes a member's folder and starts it.
+    fn begin(&mut self, id: NodeId, members: Vec<NodeId>) {
+        let from = Beginning { members, state: Vec::new() };
+        Cluster::begin("test", id, &self.folder.join(id.to_string()), 100 + id, from).unwrap();
+        self.start(id);
+    }
+
+    fn start(&mut self, id: NodeId) {
+        let options = self.options(id);
         // One that has just been dropped may hold its address until its tasks are gone.
         let until = Instant::now() + WAIT;
         loop {
@@ -109,7 +115,7 @@
 #[test]
 fn three_agree_lose_one_and_take_it_back() {
     let mut three = Three::new("agree", 1..=3);
-    (1..=3).for_each(|id| three.start(id, Some(vec![1, 2, 3])));
+    (1..=3).for_each(|id| three.begin(id, vec![1, 2, 3]));
     let executor = Rc::clone(&three.executor);
     async_io::block_on(executor.run(async {
         for n in 0..120 {
@@ -122,7 +128,7 @@
         for n in 0..120 {
             three.put("limit", &format!("later-{n}")).await;
         }
-        three.start(gone, Some(vec![1, 2, 3]));
+        three.start(gone);
         three.all_hold("limit", "later-119").await;
         // The same request again is the same outcome.
         let first = three.put("once", "x").await;
@@ -135,7 +141,7 @@
 #[test]
 fn one_that_is_cut_off_does_not_route() {
     let mut three = Three::new("cut", 1..=3);
-    (1..=3).for_each(|id| three.start(id, Some(vec![1, 2, 3])));
+    (1..=3).for_each(|id| three.begin(id, vec![1, 2, 3]));
     let executor = Rc::clone(&three.executor);
     async_io::block_on(executor.run(async {
         three.put("a", "1").await;
@@ -171,11 +177,11 @@
 #[test]
 fn one_joins_and_one_that_lost_its_disk_does_not_come_back() {
     let mut three = Three::new("join", 1..=4);
-    (1..=3).for_each(|id| three.start(id, Some(vec![1, 2, 3])));
+    (1..=3).for_each(|id| three.begin(id, vec![1, 2, 3]));
     let executor = Rc::clone(&three.executor);
     async_io::block_on(executor.run(async {
         three.put("a", "1").await;
-        three.start(4, None);
+        three.begin(4, Vec::new());
         let within = Duration::from_secs(2);
         for (change, done) in [(Change::Add(4), 3), (Change::Promote(4), 4), (Change::Remove(2), 3)] {
             let until = Instant::now() + WAIT;
@@ -197,6 +203,49 @@
     while three.executor.try_tick() {}
     let folder = three.folder.join("3");
     std::fs::remove_file(folder.join("member")).unwrap();
-    let refused = Cluster::start(&three.executor, &three.options(3, None)).err().unwrap_or_default();
-    assert!(refused.contains("a member's already"), "{refused}");
+    let refused = Cluster::start(&three.executor, &three.options(3)).err().unwrap_or_default();
+    assert!(refused.contains("this folder is no member's"), "{refused}");
+    let begun = Cluster::begin("test", 3, &folder, 1, Beginning { members: vec![], state: vec![] });
+    assert!(begun.unwrap_err().contains("a member's already"));
+}
+
+/// Any member has a call agreed on, by whoever leads, and asked again it has the outcome that it had; a member that
+/// comes with another disk is heard by nobody.
+#[test]
+fn a_follower_has_calls_agreed_on_and_another_disk_is_turned_away() {
+    let mut three = Three::new("agree-anywhere", 1..=3);
+    (1..=3).for_each(|id| three.begin(id, vec![1, 2, 3]));
+    let executor = Rc::clone(&three.executor);
+    let call = |n: u8| Call::Propose {
+        request: format!("r-{n}"),
+        who: "test".to_owned(),
+        step: Step::Txn(Txn {
+            then: vec![Op::Put { key: "k".to_owned(), value: vec![n], lease: None }],
+            ..Txn::default()
+        }),
+    };
+    async_io::block_on(executor.run(async {
+        for n in 1..=3 {
+            let id = u64::from(n);
+            let first = three.members[&id].agree(call(n), WAIT).await;
+            assert!(matches!(first, Answered::Yes(Answer::Done(Outcome::Done { .. }))), "{first:?}");
+            assert_eq!(three.members[&(id % 3 + 1)].agree(call(n), WAIT).await, first);
+        }
+        assert!(three.members[&1].current(WAIT).await);
+        assert_eq!(three.members[&1].status().revision, 3);
+    }));
+    // Member 3 loses its disk, and one is made anew under its id: it could vote twice.
+    three.members.remove(&3);
+    while three.executor.try_tick() {}
+    std::fs::remove_dir_all(three.folder.join("3")).unwrap();
+    let disks: BTreeMap<_, _> = (1..=3).map(|id| (id, 100 + id)).collect();
+    three.members.values().for_each(|m| m.transport().disks(disks.clone()));
+    let from = Beginning { members: vec![1, 2, 3], state: vec![] };
+    Cluster::begin("test", 3, &three.folder.join("3"), 7, from).unwrap();
+    three.start(3);
+    async_io::block_on(executor.run(async {
+        assert!(!three.members[&3].current(Duration::from_secs(2)).await);
+        assert_eq!((three.members[&3].status().applied, three.members[&3].status().term), (0, 0));
+        assert!(three.members[&1].current(WAIT).await, "the two others go on");
+    }));
 }
--- a/cluster/state/src/store.rs
+++ b/cluster/state/src/store.rs
@@ -181,6 +181,12 @@
         self.revision
     }
 
+    /// How a request with this id ended, if it has come and is remembered.
+    #[must_use]
+    pub fn outcome(&self, request: &str) -> Option<&Outcome> {
+        self.outcomes.get(request)
+    }
+
     /// Applies an agreed command.
     pub fn apply(&mut self, command: &Command) -> Outcome {
         if let Some(known) = command.request.as_ref().and_then(|r| self.outcomes.get(r)) {
@@ -287,7 +293,10 @@
             // The last of several changes of a key in one transaction counts.
             versions.retain(|(r, _)| *r != revision);
             versions.push((revision, value));
-            self.changes.retain(|c| c.revision != revision || c.key != *key);
+            let own = self.changes.partition_point(|c| c.revision < revision);
+            if let Some(at) = self.changes.range(own..).position(|c| c.key == *key) {
+                self.changes.remove(own + at);
+            }
             self.changes.push_back(Change {
                 revision,
                 key: key.clone(),
@@ -313,15 +322,17 @@
             return;
         }
         self.first = to;
+        // A version that can go was followed, or ended, by a change that goes now: no other key is looked at.
         while self.changes.front().is_some_and(|c| c.revision <= to) {
-            self.changes.pop_front();
-        }
-        self.keys.retain(|_, versions| {
+            let Some(change) = self.changes.pop_front() else { break };
+            let Some(versions) = self.keys.get_mut(&change.key) else { continue };
             // Of what came up to there, the last still holds.
             let keep = versions.iter().rposition(|(r, _)| *r <= to).unwrap_or(0);
             versions.drain(..keep);
-            !matches!(versions.as_slice(), [(r, None)] if *r <= to)
-        });
+            if matches!(versions.as_slice(), [(r, None)] if *r <= to) {
+                self.keys.remove(&change.key);
+            }
+        }
     }
 
     /// A key now: the revision that last changed it, and what it holds.
@@ -403,7 +414,7 @@
     /// The whole state as bytes: the same state is the same bytes on every member.
     #[must_use]
     pub fn save(&self) -> Vec<u8> {
-        serde_json::to_vec(self).unwrap_or_default()
+        postcard::to_stdvec(self).unwrap_or_default()
     }
 
     /// The state that was saved.
@@ -412,6 +423,6 @@
     ///
     /// The bytes are none; the text says why.
     pub fn load(bytes: &[u8]) -> Result<Self, String> {
-        serde_json::from_slice(bytes).map_err(|e| e.to_string())
+        postcard::from_bytes(bytes).map_err(|e| e.to_string())
     }
 }
--- a/deploy/violetgate.hcl
+++ b/deploy/violetgate.hcl
@@ -26,3 +26,23 @@
   results = 10000
   idempotency_keys = 10000
 }
+
+# This instance as a member of a cluster (docs/daemon-operations.md). This block, too, has to be taken out where none is
+# wanted; on the platform of balancer.toml, where instances share nothing, there is none.
+cluster {
+  name = "wards"
+  id = 1
+  folder = "/var/lib/violetgate"
+  listen = "127.0.0.1:7480"
+  api = "127.0.0.1:7490"
+  members = {
+    "1" = "127.0.0.1:7480"
+    "2" = "127.0.0.1:7481"
+    "3" = "127.0.0.1:7482"
+  }
+  drain_limit = "2s"
+  confirm_every = "250ms"
+  election_timeout = "500ms"
+  heartbeat = "100ms"
+  snapshot_every = 10000
+}
--- a/tools/prove/src/lib.rs
+++ b/tools/prove/src/lib.rs
@@ -1,6 +1,10 @@
 //! What all proofs share: the program under proof, its use of the machine, and a load that does not wait for
 //! answers. Each proof is a command of its own in `src/bin`, run by `make prove-NAME`.
 
+pub mod daemon;
+pub mod inside;
+pub mod mesh;
+
 use std::io::{Error, Result};
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
@@ -34,7 +38,11 @@
 }
 
 /// Addresses on loopback that nobody has.
-fn free<const N: usize>() -> Result<[String; N]> {
+///
+/// # Errors
+///
+/// The machine gives none.
+pub fn free<const N: usize>() -> Result<[String; N]> {
     let held: Vec<_> = (0..N).map(|_| std::net::TcpListener::bind("127.0.0.1:0")).collect::<Result<_>>()?;
     let mut out = [const { String::new() }; N];
     for (text, listener) in out.iter_mut().zip(&held) {
--- a/tools/standin/src/counts.rs
+++ b/tools/standin/src/counts.rs
@@ -28,6 +28,11 @@
     pub most_running: u32,
     /// The longest time after its drain was told at which an engine got an attempt.
     pub latest_after_drain: Duration,
+    /// The same after an operator's call out that was agreed on.
+    pub latest_after_call: Duration,
+    /// Attempts that came to engines that were called out, within that time.
+    pub after_calls: u32,
+    called_out: BTreeMap<String, Instant>,
     drained: BTreeMap<String, Instant>,
     taken: HashMap<String, Instant>,
 }
@@ -43,12 +48,24 @@
         self.drained.entry(engine.to_owned()).or_insert_with(Instant::now);
     }
 
+    pub(crate) fn called(&mut self, engine: &str, out: bool) {
+        if out {
+            self.called_out.entry(engine.to_owned()).or_insert_with(Instant::now);
+        } else {
+            self.called_out.remove(engine);
+        }
+    }
+
     pub(crate) fn attempt(&mut self, engine: &str, rid: &str, key: Option<&str>) {
         *self.by_request.entry(rid.to_owned()).or_default() += 1;
         *self.by_engine.entry(engine.to_owned()).or_default() += 1;
         if let Some(told) = self.drained.get(engine) {
             self.latest_after_drain = self.latest_after_drain.max(told.elapsed());
         }
+        if let Some(told) = self.called_out.get(engine) {
+            self.latest_after_call = self.latest_after_call.max(told.elapsed());
+            self.after_calls += 1;
+        }
         if let Some(key) = key {
             *self.by_key.entry(key.to_owned()).or_default() += 1;
         }
--- a/tools/standin/src/lib.rs
+++ b/tools/standin/src/lib.rs
@@ -132,6 +132,11 @@
         self.tell(false, &[(id, "terminating")]);
     }
 
+    /// Notes that an engine is called out by operators from now on, or back: attempts that come to it are counted.
+    pub fn called(&self, id: &str, out: bool) {
+        lock(&self.0.counts).called(id, out);
+    }
+
     /// Ends an engine's process: its connections are reset, its address refuses, and the bus is not told.
     pub fn kill(&self, id: &str) {
         if let Some(engine) = lock(&self.0.engines).remove(id) {
--- a/violetgate/src/admin/mod.rs
+++ b/violetgate/src/admin/mod.rs
@@ -4,8 +4,10 @@
 
 mod http;
 
+use std::future::Future;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -39,20 +41,30 @@
     host: String,
 }
 
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Called {
+    /// It holds.
+    Done,
+    /// Nobody has that name.
+    Unknown,
+    /// Other instances have not agreed to it in its time; it may still come to hold.
+    Unagreed,
+}
+
+/// A call under way.
+pub type Calling<'a> = Pin<Box<dyn Future<Output = Called> + 'a>>;
+
 /// What operators may ask of the program.
 pub trait Operations {
     /// Whether this process can serve.
     fn healthy(&self) -> bool;
     /// The figures, in the text format of Prometheus.
     fn figures(&self) -> String;
-    /// Nothing more to an engine, until the call back. False: nobody has that name.
-    fn cordon(&self, host: &str) -> bool;
-    /// Uses an engine again. False: nobody has that name.
-    fn uncordon(&self, host: &str) -> bool;
-    /// Drains: clients are sent elsewhere until `resume`.
-    fn quiesce(&self);
-    /// Takes clients again.
-    fn resume(&self);
+    /// Nothing more to an engine, until the call back; or uses it again.
+    fn cordon<'a>(&'a self, host: &'a str, out: bool) -> Calling<'a>;
+    /// Drains: clients are sent elsewhere until the call back; or takes clients again.
+    fn drain(&self, on: bool) -> Calling<'_>;
 }
 
 /// The management side.
@@ -133,7 +145,7 @@
             let (status, body) = match http::parse(input) {
                 Ok(None) => continue,
                 Ok(Some(call)) => {
-                    let answer = self.answer(&call);
+                    let answer = self.answer(&call).await;
                     if call.method != "GET" {
                         let (code, method, path) = (answer.0 as u16, call.method, call.path);
                         log::line(format_args!(
@@ -149,39 +161,43 @@
         }
     }
 
-    fn answer(&self, call: &Call<'_>) -> (Status, String) {
+    async fn answer(&self, call: &Call<'_>) -> (Status, String) {
         match (call.method, call.path) {
             ("GET", "/admin/health") if self.operations.healthy() => told(Status::Ok, "ready"),
             ("GET", "/admin/health") => told(Status::ServiceUnavailable, "starting"),
             ("GET", "/admin/stats") => (Status::Ok, self.operations.figures()),
-            ("PUT", "/admin/cordon") => host(call, |host| self.operations.cordon(host)),
-            ("PUT", "/admin/uncordon") => host(call, |host| self.operations.uncordon(host)),
-            ("PUT", "/admin/quiesce") => {
-                self.operations.quiesce();
-                told(Status::Ok, "draining")
-            }
-            ("PUT", "/admin/resume") => {
-                self.operations.resume();
-                told(Status::Ok, "taking clients")
-            }
+            ("PUT", "/admin/cordon") => self.cordon(call, true).await,
+            ("PUT", "/admin/uncordon") => self.cordon(call, false).await,
+            ("PUT", "/admin/quiesce") => carried(self.operations.drain(true).await, "draining"),
+            ("PUT", "/admin/resume") => carried(self.operations.drain(false).await, "taking clients"),
             (_, path) if PATHS.contains(&path) => {
                 told(Status::MethodNotAllowed, "another method is served here")
             }
             _ => told(Status::NotFound, "no such path"),
         }
     }
+
+    /// A call that names an engine.
+    async fn cordon(&self, call: &Call<'_>, out: bool) -> (Status, String) {
+        match serde_json::from_slice(call.body) {
+            Ok(Target { host }) => carried(self.operations.cordon(&host, out).await, &host),
+            Err(e) => told(Status::BadRequest, &format!("the body is no {{\"host\":\"ID\"}}: {e}")),
+        }
+    }
 }
 
 fn told(status: Status, text: &str) -> (Status, String) {
     (status, format!("{text}\n"))
 }
 
-/// A call that names an engine.
-fn host(call: &Call<'_>, carry_out: impl Fn(&str) -> bool) -> (Status, String) {
-    match serde_json::from_slice(call.body) {
-        Ok(Target { host }) if carry_out(&host) => told(Status::Ok, &host),
-        Ok(Target { host }) => told(Status::NotFound, &format!("no engine {host:?}")),
-        Err(e) => told(Status::BadRequest, &format!("the body is no {{\"host\":\"ID\"}}: {e}")),
+fn carried(called: Called, done: &str) -> (Status, String) {
+    match called {
+        Called::Done => told(Status::Ok, done),
+        Called::Unknown => told(Status::NotFound, &format!("no engine {done:?}")),
+        Called::Unagreed => told(
+            Status::ServiceUnavailable,
+            "not agreed on in its time; it may still come to hold: call again",
+        ),
     }
 }
 
--- a/violetgate/src/bus.rs
+++ b/violetgate/src/bus.rs
@@ -1,7 +1,7 @@
 //! The event bus: numbered news of the engine list, followed for ever from the last number that is held.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::future::poll_fn;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -41,7 +41,7 @@
     #[serde(default)]
     full: bool,
     #[serde(default)]
-    servers: Vec<Server>,
+    servers: Vec<Value>,
 }
 
 #[derive(Deserialize)]
@@ -67,18 +67,67 @@
     Terminated,
 }
 
+/// The engine list in the bus's own words: the last event's number, and engines by name.
+pub type Held = (u64, BTreeMap<String, Value>);
+
 /// Where the bus is; a new configuration may move it. And whether it has told anything yet.
 pub struct Place {
     addr: Cell<SocketAddr>,
     heard: Cell<bool>,
+    /// What the bus told, where somebody keeps it; and what was kept, to begin with while the bus tells nothing.
+    held: Option<RefCell<Held>>,
+    offered: RefCell<Option<Held>>,
     waker: RefCell<Option<Waker>>,
 }
 
 impl Place {
     /// Creates a place.
     #[must_use]
-    pub fn new(addr: SocketAddr) -> Self {
-        Place { addr: Cell::new(addr), heard: Cell::new(false), waker: RefCell::default() }
+    pub fn new(addr: SocketAddr, keeps: bool) -> Self {
+        Place {
+            addr: Cell::new(addr),
+            heard: Cell::new(false),
+            held: keeps.then(RefCell::default),
+            offered: RefCell::default(),
+            waker: RefCell::default(),
+        }
+    }
+
+    /// What the bus has told so far, if that is kept.
+    #[must_use]
+    pub fn held(&self) -> Option<Held> {
+        self.held.as_ref().map(|h| h.borrow().clone())
+    }
+
+    /// The number of the last event, if that is kept.
+    #[must_use]
+    pub fn last(&self) -> Option<u64> {
+        self.held.as_ref().map(|h| h.borrow().0)
+    }
+
+    /// Offers a list that was kept: it counts until the bus tells something, if it is newer than what is known.
+    pub fn offer(&self, held: Held) {
+        if !self.heard.get() {
+            *self.offered.borrow_mut() = Some(held);
+        }
+    }
+
+    fn hold(&self, last: u64, topology: Option<&Topology>) {
+        let Some(held) = &self.held else { return };
+        let mut held = held.borrow_mut();
+        held.0 = held.0.max(last);
+        let Some(topology) = topology else { return };
+        if topology.full {
+            held.1.clear();
+        }
+        for server in &topology.servers {
+            let name = server.get("id").and_then(Value::as_str).unwrap_or_default();
+            if server.get("state").and_then(Value::as_str) == Some("terminated") {
+                held.1.remove(name);
+            } else {
+                held.1.insert(name.to_owned(), server.clone());
+            }
+        }
     }
 
     /// Moves it, and lets go of the old one at once: that may stay open and tell nothing more.
@@ -129,13 +178,14 @@
     names: Names,
     last: u64,
     ids: Rc<Ids>,
+    place: Rc<Place>,
 }
 
 impl Bus {
     /// Creates a follower that knows nothing yet.
     #[must_use]
-    pub fn new(names: Names, ids: Rc<Ids>) -> Self {
-        Bus { names, last: 0, ids }
+    pub fn new(names: Names, ids: Rc<Ids>, place: Rc<Place>) -> Self {
+        Bus { names, last: 0, ids, place }
     }
 
     /// Takes the events of the start, and their last number.
@@ -148,12 +198,36 @@
             }
         }
         self.last = last;
+        self.place.hold(last, None);
+    }
+
+    /// Takes a list that was kept, if it is newer and the bus has told nothing yet.
+    fn take_offered(&mut self, tell: &mut dyn FnMut(ListScope, &[Listed])) {
+        let offered = self.place.offered.borrow_mut().take();
+        let Some((last, engines)) = offered.filter(|(last, _)| *last > self.last && !self.place.heard())
+        else {
+            return;
+        };
+        let topology = Topology { full: true, servers: engines.into_values().collect() };
+        match self.take(Happening { offset: last, topology: Some(topology) }, tell) {
+            Ok(()) => {
+                log::line(format_args!(
+                    "bus is silent; the list that was kept counts, from={} to={last}",
+                    self.last
+                ));
+                self.last = last;
+            }
+            Err(e) => log::line(format_args!("bus reason=garbage kept list left out: {e}")),
+        }
     }
 
     /// Follows the bus for ever, wherever it moves.
-    pub async fn follow(mut self, place: &Place, tell: &mut dyn FnMut(ListScope, &[Listed])) {
+    pub async fn follow(mut self, tell: &mut dyn FnMut(ListScope, &[Listed])) {
         let (mut pause, mut told) = (PAUSE, String::new());
+        let place = Rc::clone(&self.place);
+        let place = &*place;
         loop {
+            self.take_offered(tell);
             let from = self.last;
             let addr = place.addr.get();
             let mut heard = false;
@@ -242,10 +316,14 @@
     }
 
     fn take(&mut self, event: Happening, tell: &mut dyn FnMut(ListScope, &[Listed])) -> Result<(), String> {
-        let Some(topology) = event.topology else { return Ok(()) };
+        let Some(topology) = event.topology else {
+            self.place.hold(event.offset, None);
+            return Ok(());
+        };
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name).unwrap_or(0) as u32;
         let mut listed = Vec::new();
-        for s in topology.servers {
+        for s in &topology.servers {
+            let s = Server::deserialize(s).map_err(|e| e.to_string())?;
             let addr = s.addr.parse().map_err(|e| format!("addr {:?}: {e}", s.addr))?;
             let engine = Engine {
                 id: self.ids.number(&s.id),
@@ -261,6 +339,7 @@
             };
             listed.push(Listed { engine, addr });
         }
+        self.place.hold(event.offset, Some(&topology));
         tell(if topology.full { ListScope::Whole } else { ListScope::Patch }, &listed);
         Ok(())
     }
--- a/violetgate/src/cli.rs
+++ b/violetgate/src/cli.rs
@@ -8,6 +8,7 @@
 use clap_complete::Shell;
 
 use crate::config::Config;
+use crate::ctl::{self, Ctl, Members};
 use crate::demo::{self, Demo};
 use crate::{log, serve, settings};
 
@@ -45,6 +46,10 @@
         /// The file
         file: PathBuf,
     },
+    /// Read and change what a cluster of instances has agreed on
+    Ctl(Ctl),
+    /// Make members of a cluster, and change who belongs to it
+    Members(Members),
     /// Print the reference of all settings as Markdown (docs/configuration.md holds it)
     Reference,
     /// Print completions for a shell
@@ -61,10 +66,9 @@
     match cli.command {
         None => start(&cli.serve),
         Some(Command::Serve(given)) => start(&Serve { settings: given.settings.or(cli.serve.settings) }),
-        Some(Command::Demo(given)) => match demo::run(&given) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(what) => complain(&format!("violetgate: {what}")),
-        },
+        Some(Command::Demo(given)) => ended(demo::run(&given)),
+        Some(Command::Ctl(given)) => ended(ctl::run(&given)),
+        Some(Command::Members(given)) => ended(ctl::members(&given)),
         Some(Command::Check { file }) => check(&file),
         Some(Command::Reference) => print(&settings::reference()),
         Some(Command::Completions { shell }) => {
@@ -75,6 +79,10 @@
     }
 }
 
+fn ended(done: Result<(), String>) -> ExitCode {
+    done.map_or_else(|what| complain(&format!("violetgate: {what}")), |()| ExitCode::SUCCESS)
+}
+
 /// Writes to standard output; a reader that has gone (`| head`) is no failure.
 fn print(text: &str) -> ExitCode {
     let _ = std::io::stdout().lock().write_all(text.as_bytes());
--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -482,6 +482,17 @@
                 self.closing();
                 Ending::Refused
             }
+            Some(Answer::Stale) => {
+                let hint = Some("Another instance may serve it.");
+                codec::error(
+                    &mut self.output,
+                    "ERROR",
+                    "57P03",
+                    "this instance is cut off from the others",
+                    hint,
+                );
+                Ending::Refused
+            }
             Some(Answer::Failed) => {
                 self.fail("58000", "the query failed; it may have had its effect");
                 Ending::Failed
--- /dev/null
+++ b/violetgate/src/daemon/mod.rs
@@ -0,0 +1,380 @@
+//! This instance as a member of a cluster: what is agreed on is done here, and what operators call for becomes agreed.
+//!
+//! What a change means is [`agreed`]'s, which does no I/O; who agrees is the cluster's. It must never let anything be
+//! sent on state that it can't confirm: it is the program's [`Fence`].
+
+pub mod agreed;
+mod api;
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use violetgate_cluster::{Answered, Call, Cluster, Options, Status};
+use violetgate_consensus::{Config, NodeId, Rejected, Role};
+use violetgate_member::{Answer, Manner};
+use violetgate_state::{Outcome, Refused, Revision, Step, Store, Txn};
+
+use crate::bus::{Ids, Place};
+use crate::clock::Clock;
+use crate::dispatch::Dispatch;
+use crate::door::Door;
+use crate::fence::Fence;
+use crate::log;
+use crate::rest::Rest;
+use crate::settings::{self, Agreed, Settings};
+use agreed::{List, Move, Record, View};
+
+pub use api::{listen, MemberStep};
+
+/// How often the fence is looked at: what waits is told to go elsewhere within this time.
+const LOOK: Duration = Duration::from_millis(20);
+/// How often the leader sees to what is kept of the engine list.
+const KEEP: Duration = Duration::from_millis(200);
+/// How long one call to keep something may take.
+const WITHIN: Duration = Duration::from_secs(5);
+
+/// What agreed state reaches.
+pub struct Parts {
+    /// The one clock.
+    pub clock: Clock,
+    /// The decisions.
+    pub dispatch: Rc<Dispatch>,
+    /// Whether clients are let in.
+    pub door: Rc<Door>,
+    /// Engines' numbers by name.
+    pub ids: Rc<Ids>,
+    /// Where the bus is.
+    pub place: Rc<Place>,
+    /// The REST front, if there is one.
+    pub rest: Option<Rc<Rest>>,
+}
+
+/// Why a call was not agreed on.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Unagreed {
+    /// Not in its time: it may still come to be. The same call under the same request id tells.
+    Late,
+    /// The store refused it.
+    Refused(Refused),
+    /// The step of the membership can't be taken.
+    Rejected(Rejected),
+}
+
+/// This instance as a member.
+pub struct Daemon {
+    cluster: Rc<Cluster>,
+    id: NodeId,
+    parts: OnceCell<Parts>,
+    /// This instance's own settings, under the agreed ones.
+    own: RefCell<Settings>,
+    given: settings::Cluster,
+    seen: Cell<Option<Revision>>,
+    view: RefCell<View>,
+    shut: Cell<bool>,
+}
+
+impl Fence for Daemon {
+    fn is_open(&self) -> bool {
+        self.cluster.may_route().is_ok()
+    }
+}
+
+/// An id for a request that its client gave none.
+#[must_use]
+pub fn request_id() -> String {
+    let mut bytes = [0; 16];
+    // Without random numbers two requests could be taken for one: the time tells them apart then.
+    if getrandom::fill(&mut bytes).is_err() {
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        bytes = now.as_nanos().to_be_bytes();
+    }
+    format!("r-{:032x}", u128::from_be_bytes(bytes))
+}
+
+impl Daemon {
+    /// Opens this member's folder and begins to take part. Nothing may be sent until its state is confirmed.
+    ///
+    /// # Errors
+    ///
+    /// Its folder or its address can't be used.
+    pub fn start(
+        executor: &Rc<LocalExecutor<'static>>,
+        own: &Settings,
+        given: &settings::Cluster,
+        seed: u64,
+    ) -> Result<Rc<Self>, String> {
+        let micros = |s: settings::Span| u64::try_from(s.0.as_micros()).unwrap_or(u64::MAX);
+        let core = Config {
+            election: micros(given.election_timeout),
+            heartbeat: micros(given.heartbeat),
+            ..Config::default()
+        };
+        let manner = Manner {
+            core,
+            snapshot_every: given.snapshot_every,
+            drain_limit: micros(given.drain_limit),
+            confirm_every: micros(given.confirm_every),
+        };
+        let options = Options {
+            cluster: given.name.clone(),
+            id: given.id,
+            folder: given.folder.clone(),
+            listen: given.listen,
+            members: given.addresses(),
+            manner,
+            seed,
+        };
+        let cluster = Cluster::start(executor, &options).map_err(|e| {
+            if e.contains("no member's") {
+                format!("`cluster.folder`: {e} (`violetgate members init` makes one)")
+            } else {
+                format!("`cluster`: {e}")
+            }
+        })?;
+        Ok(Rc::new(Daemon {
+            cluster,
+            id: given.id,
+            parts: OnceCell::new(),
+            own: RefCell::new(own.clone()),
+            given: given.clone(),
+            seen: Cell::new(None),
+            view: RefCell::default(),
+            shut: Cell::new(true),
+        }))
+    }
+
+    /// Names what agreed state reaches, does what is agreed on so far, and goes on doing so.
+    pub fn attach(self: &Rc<Self>, executor: &Rc<LocalExecutor<'static>>, parts: Parts) {
+        parts.door.fence(true);
+        let _ = self.parts.set(parts);
+        let me = Rc::downgrade(self);
+        // In the very turn in which it is applied: the gate may count it from then on.
+        self.cluster.on_applied(Rc::new(move |store| {
+            me.upgrade().into_iter().for_each(|me| me.adopt(store));
+        }));
+        executor.spawn(look(Rc::downgrade(self))).detach();
+        executor.spawn(keep(Rc::downgrade(self))).detach();
+    }
+
+    /// Does what is agreed on and was not done yet.
+    fn adopt(&self, store: &Store) {
+        let revision = store.revision();
+        if self.seen.replace(Some(revision)) == Some(revision) {
+            return;
+        }
+        let now = View::read(store, self.id);
+        let before = self.view.replace(now.clone());
+        let Some(parts) = self.parts.get() else { return };
+        for step in before.moves(&now) {
+            match step {
+                Move::Cordon(name, out) => {
+                    log::line(format_args!("engine {name} is called {}", if out { "out" } else { "back" }));
+                    parts.dispatch.cordon(parts.ids.number(&name), out);
+                }
+                Move::Drain(true) => parts.door.quiesce(parts.clock.now()),
+                Move::Drain(false) => parts.door.resume(),
+                Move::Settings(settings) => {
+                    let version = settings.map_or(0, |s| s.0);
+                    log::line(format_args!("cluster settings version={version} hold"));
+                    self.take_settings(parts);
+                }
+                Move::Members => self.take_members(&now),
+            }
+        }
+        if !parts.place.heard() {
+            if let Some(List { last, engines }) = agreed::list(store) {
+                parts.place.offer((last, engines));
+            }
+        }
+    }
+
+    fn take_members(&self, view: &View) {
+        let own = self.own.borrow().cluster.as_ref().map(settings::Cluster::addresses);
+        let own = own.unwrap_or_else(|| self.given.addresses());
+        self.cluster.transport().peers(&view.addresses(&own));
+        self.cluster.transport().disks(view.disks());
+    }
+
+    /// The settings that hold here: the agreed ones over this instance's own.
+    #[must_use]
+    pub fn settings(&self) -> Settings {
+        let own = self.own.borrow();
+        let agreed = self.view.borrow().settings.clone();
+        match agreed.map(|(version, text)| (version, Agreed::parse(&text))) {
+            Some((_, Ok(agreed))) => agreed.over(&own),
+            Some((version, Err(problems))) => {
+                // Another member, of another version of the program, has let it pass.
+                let first = problems.first().map(ToString::to_string).unwrap_or_default();
+                log::line(format_args!("cluster settings version={version} can't be used here: {first}"));
+                own.clone()
+            }
+            None => own.clone(),
+        }
+    }
+
+    fn take_settings(&self, parts: &Parts) {
+        if let (Some(rest), Some(settings)) = (&parts.rest, &self.settings().rest) {
+            rest.limit(settings);
+        }
+    }
+
+    /// This instance's own settings were read anew.
+    pub fn own(&self, own: &Settings) {
+        *self.own.borrow_mut() = own.clone();
+        if let Some(parts) = self.parts.get() {
+            self.take_settings(parts);
+            self.take_members(&self.view.borrow());
+        }
+    }
+
+    /// What the member is at.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        self.cluster.status()
+    }
+
+    /// Has a transaction agreed on, once: the store's revision after it, and whether its conditions held.
+    ///
+    /// # Errors
+    ///
+    /// It was not, or it is not known.
+    pub async fn agree(
+        &self,
+        request: Option<String>,
+        who: &str,
+        txn: Txn,
+        within: Duration,
+    ) -> Result<(Revision, bool), Unagreed> {
+        let request = request.unwrap_or_else(request_id);
+        let call = Call::Propose { request, who: who.to_owned(), step: Step::Txn(txn) };
+        match self.cluster.agree(call, within).await {
+            Answered::Yes(Answer::Done(Outcome::Done { revision, held })) => Ok((revision, held)),
+            Answered::Yes(Answer::Done(Outcome::Refused(why))) => Err(Unagreed::Refused(why)),
+            Answered::Yes(Answer::Rejected(why)) => Err(Unagreed::Rejected(why)),
+            _ => Err(Unagreed::Late),
+        }
+    }
+
+    /// Calls an engine out, or back, everywhere.
+    ///
+    /// # Errors
+    ///
+    /// As [`Daemon::agree`].
+    pub async fn cordon(&self, engine: &str, out: bool, who: &str, within: Duration) -> Result<(), Unagreed> {
+        self.agree(None, who, agreed::cordon(engine, out, who), within).await.map(|_| ())
+    }
+
+    /// Drains this instance, or lets it take clients again.
+    ///
+    /// # Errors
+    ///
+    /// As [`Daemon::agree`].
+    pub async fn drain(&self, on: bool, who: &str, within: Duration) -> Result<(), Unagreed> {
+        self.agree(None, who, agreed::drain(self.id, on, who), within).await.map(|_| ())
+    }
+
+    /// The figures, in the text format of Prometheus.
+    #[must_use]
+    pub fn figures(&self) -> String {
+        use std::fmt::Write as _;
+        let status = self.status();
+        let mut out = String::new();
+        let turned_away = self.parts.get().map_or(0, |p| p.dispatch.turned_away());
+        for (name, kind, help, value) in [
+            ("leads", "gauge", "This member leads.", u64::from(status.role == Role::Leader)),
+            ("term", "gauge", "The term.", status.term),
+            ("commit", "gauge", "The last entry that is agreed on, as known here.", status.commit),
+            ("applied", "gauge", "The last entry that is applied here.", status.applied),
+            ("revision", "gauge", "The state's revision.", status.revision),
+            ("voters", "gauge", "Members that vote.", status.members.voters.len() as u64),
+            ("routes", "gauge", "The state is confirmed: requests may be sent.", u64::from(self.is_open())),
+            ("turned_away_total", "counter", "Requests and attempts not sent on old state.", turned_away),
+            ("dropped_total", "counter", "Messages to members dropped.", self.cluster.transport().dropped()),
+        ] {
+            let name = format!("svc_cluster_{name}");
+            let _ = writeln!(out, "# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {value}");
+        }
+        out
+    }
+
+    /// Notices that the fence was shut or opened.
+    fn look(&self) {
+        let Some(parts) = self.parts.get() else { return };
+        let shut = !self.is_open();
+        if shut {
+            parts.dispatch.shut();
+        }
+        if self.shut.replace(shut) != shut {
+            parts.door.fence(shut);
+            let Status { term, leader, fresh, .. } = self.status();
+            let leader = leader.map_or("none".to_owned(), |l| l.to_string());
+            let age = fresh
+                .err()
+                .and_then(|stale| stale.age)
+                .map_or("unknown".to_owned(), |a| (a / 1000).to_string());
+            match (shut, self.cluster.lost()) {
+                (true, Some(why)) => log::line(format_args!("cluster reason=disk sends nothing more: {why}")),
+                (true, None) => log::line(format_args!(
+                    "cluster reason=stale sends nothing: age_ms={age} term={term} leader={leader}"
+                )),
+                (false, _) => log::line(format_args!("cluster sends again: term={term} leader={leader}")),
+            }
+        }
+    }
+}
+
+async fn look(of: Weak<Daemon>) {
+    let (mut leader, mut lost) = (None, false);
+    while let Some(daemon) = of.upgrade() {
+        daemon.look();
+        let status = daemon.status();
+        if leader != status.leader && status.leader.is_some() {
+            leader = status.leader;
+            let (term, id) = (status.term, leader.unwrap_or_default());
+            log::line(format_args!("cluster leader={id} term={term}"));
+        }
+        if let Some(why) = daemon.cluster.lost().filter(|_| !std::mem::replace(&mut lost, true)) {
+            log::line(format_args!("cluster reason=disk member stopped: {why}"));
+        }
+        drop(daemon);
+        Timer::after(LOOK).await;
+    }
+}
+
+/// Keeps this member's record, and as the leader the engine list.
+async fn keep(of: Weak<Daemon>) {
+    let mut told = false;
+    while let Some(daemon) = of.upgrade() {
+        if daemon.is_open() {
+            let given = &daemon.given;
+            let record = Record { listen: given.listen, api: given.api, born: Some(daemon.cluster.born()) };
+            let txn = daemon.cluster.store(|s| agreed::member(s, daemon.id, &record));
+            if let Some(txn) = txn {
+                let held = daemon.agree(None, "member", txn, WITHIN).await;
+                if held.is_ok_and(|(_, held)| !held) && !std::mem::replace(&mut told, true) {
+                    log::line("cluster reason=id another disk goes by this member's id");
+                }
+            }
+            let leads = daemon.status().role == Role::Leader;
+            let list = daemon.parts.get().filter(|_| leads).and_then(|parts| {
+                // Looked at before it is copied: it seldom changes.
+                let last = parts.place.last()?;
+                let newer = daemon.cluster.store(agreed::list_last).is_none_or(|kept| kept < last);
+                parts.place.held().filter(|_| newer)
+            });
+            if let Some((last, engines)) = list {
+                let list = List { last, engines };
+                while let Some(txn) = daemon.cluster.store(|s| agreed::keep_list(s, &list)) {
+                    if !daemon.agree(None, "bus", txn, WITHIN).await.is_ok_and(|(_, held)| held) {
+                        break;
+                    }
+                }
+            }
+        }
+        drop(daemon);
+        Timer::after(KEEP).await;
+    }
+}
--- a/violetgate/src/demo.rs
+++ b/violetgate/src/demo.rs
@@ -29,6 +29,12 @@
     /// Port for operators' calls
     #[arg(long, default_value_t = 9480)]
     management_port: u16,
+    /// Instances to start; more than one agree on their state
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u16).range(1..=5))]
+    instances: u16,
+    /// Port for members of the cluster; their APIs are ten ports on
+    #[arg(long, default_value_t = 7480)]
+    cluster_port: u16,
 }
 
 /// A folder that goes with the demo.
@@ -40,61 +46,123 @@
     }
 }
 
-/// Runs the demo until it is interrupted or its front end ends.
+/// Where one instance is.
+struct Instance {
+    listen: String,
+    rest: String,
+    management: String,
+    peer: String,
+    api: String,
+}
+
+impl Instance {
+    fn new(demo: &Demo, n: u16) -> Self {
+        let at = |port: u16| format!("127.0.0.1:{}", port.saturating_add(n));
+        Instance {
+            listen: at(demo.port),
+            rest: at(demo.rest_port),
+            management: at(demo.management_port),
+            peer: at(demo.cluster_port),
+            api: at(demo.cluster_port.saturating_add(10)),
+        }
+    }
+}
+
+fn kill(child: &Child) {
+    if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
+        let _ = kill_process(pid, rustix::process::Signal::TERM);
+    }
+}
+
+/// Runs the demo until it is interrupted or its front ends end.
 ///
 /// # Errors
 ///
 /// Something can't be started; the text says what.
 pub fn run(demo: &Demo) -> Result<(), String> {
-    let at = |port: u16| format!("127.0.0.1:{port}");
-    let (listen, rest, management) = (at(demo.port), at(demo.rest_port), at(demo.management_port));
     let fleet = Fleet::start(usize::from(demo.engines), Profile::default())
         .map_err(|e| format!("stand-in engines: {e}"))?;
     let folder = std::env::temp_dir().join(format!("violetgate-demo-{}", std::process::id()));
     std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
     let folder = Folder(folder);
-    let file = |name: &str, text: String| {
-        let path = folder.0.join(name);
-        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
-        Ok::<_, String>(path)
-    };
-    let config = fleet.config("demo", &listen, &violetgate_standin::settings());
-    let config = file("config.json", config.to_string())?;
-    let settings = file("violetgate.hcl", format!("rest {{\n  listen = \"{rest}\"\n}}\n"))?;
     let program = std::env::current_exe().map_err(|e| format!("this program's path: {e}"))?;
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
-    let mut child = Command::new(program)
-        .arg("serve")
-        .arg("--settings")
-        .arg(settings)
-        .env("PROXY_CONFIG", config)
-        .env("PROXY_LISTEN", &listen)
-        .env("PROXY_MANAGEMENT", &management)
-        .env("TMPDIR", &folder.0)
-        .spawn()
-        .map_err(|e| format!("the front end: {e}"))?;
-    print!("{}", welcome(demo, &listen, &rest, &management));
-    let status = async_io::block_on(async {
+    let instances: Vec<_> = (0..demo.instances).map(|n| Instance::new(demo, n)).collect();
+    let members: String =
+        instances.iter().zip(1..).map(|(i, id)| format!("    \"{id}\" = \"{}\"\n", i.peer)).collect();
+    let mut children = Vec::new();
+    for (instance, id) in instances.iter().zip(1..) {
+        let own = folder.0.join(format!("{id}"));
+        std::fs::create_dir_all(&own).map_err(|e| format!("{}: {e}", own.display()))?;
+        let file = |name: &str, text: String| {
+            let path = own.join(name);
+            std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+            Ok::<_, String>(path)
+        };
+        let config = fleet.config(&format!("demo-{id}"), &instance.listen, &violetgate_standin::settings());
+        let config = file("config.json", config.to_string())?;
+        let mut text = format!("rest {{\n  listen = \"{}\"\n}}\n", instance.rest);
+        if demo.instances > 1 {
+            text += &format!(
+                "cluster {{\n  name = \"demo\"\n  id = {id}\n  folder = \"{}\"\n  listen = \"{}\"\n  \
+                 api = \"{}\"\n  members = {{\n{members}  }}\n}}\n",
+                own.join("member").display(),
+                instance.peer,
+                instance.api,
+            );
+        }
+        let settings = file("violetgate.hcl", text)?;
+        if demo.instances > 1 {
+            let made = Command::new(&program).args(["members", "init", "--settings"]).arg(&settings).status();
+            if !made.is_ok_and(|status| status.success()) {
+                return Err(format!("the folder of member {id} can't be made"));
+            }
+        }
+        let child = Command::new(&program)
+            .arg("serve")
+            .arg("--settings")
+            .arg(settings)
+            .env("PROXY_CONFIG", config)
+            .env("PROXY_LISTEN", &instance.listen)
+            .env("PROXY_MANAGEMENT", &instance.management)
+            .env("TMPDIR", &own)
+            .spawn()
+            .map_err(|e| format!("the front end: {e}"))?;
+        children.push(child);
+    }
+    print!("{}", welcome(demo, &instances));
+    let first = async_io::block_on(async {
         let asked = async {
             signals.next().await;
             None
         };
-        let ended = async { Some(wait(&mut child).await) };
+        let ended = async { Some(any(&mut children).await) };
         ended.or(asked).await
     });
-    let status = match status {
-        Some(status) => status,
-        None => {
-            if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
-                let _ = kill_process(pid, rustix::process::Signal::TERM);
+    let mut statuses: Vec<_> = first.into_iter().collect();
+    children.iter().for_each(kill);
+    for child in &mut children {
+        statuses.push(async_io::block_on(wait(child)));
+    }
+    for status in statuses {
+        match status {
+            Ok(status) if status.success() => {}
+            Ok(status) => return Err(format!("a front end ended with {status}")),
+            Err(e) => return Err(format!("a front end: {e}")),
+        }
+    }
+    Ok(())
+}
+
+/// Waits until one of them has ended.
+async fn any(children: &mut [Child]) -> std::io::Result<ExitStatus> {
+    loop {
+        for child in &mut *children {
+            if let Some(status) = child.try_wait()? {
+                return Ok(status);
             }
-            async_io::block_on(wait(&mut child))
         }
-    };
-    match status {
-        Ok(status) if status.success() => Ok(()),
-        Ok(status) => Err(format!("the front end ended with {status}")),
-        Err(e) => Err(format!("the front end: {e}")),
+        Timer::after(LOOK).await;
     }
 }
 
@@ -107,10 +175,29 @@
     }
 }
 
-fn welcome(demo: &Demo, listen: &str, rest: &str, management: &str) -> String {
+fn welcome(demo: &Demo, instances: &[Instance]) -> String {
     let (engines, port) = (demo.engines, demo.port);
-    format!(
-        r#"violetgate demo: {engines} stand-in engines, PostgreSQL at {listen}, REST at {rest}. Ctrl-C ends it.
+    let Some(Instance { listen, rest, management, .. }) = instances.first() else { return String::new() };
+    let apis = instances.iter().map(|i| i.api.as_str()).collect::<Vec<_>>().join(",");
+    let cluster = if instances.len() > 1 {
+        format!(
+            r#"{} instances on ports that follow each other agree on cordons, drains and settings:
+
+  export VIOLETGATE_AT={apis}
+  violetgate members list
+  violetgate ctl cordon e-1
+  violetgate ctl watch &
+  violetgate ctl put greeting hello
+
+"#,
+            instances.len()
+        )
+    } else {
+        String::new()
+    };
+    cluster
+        + &format!(
+            r#"violetgate demo: {engines} stand-in engines, PostgreSQL at {listen}, REST at {rest}. Ctrl-C ends it.
 
 Over PostgreSQL (an id has to be new each time):
 
@@ -135,5 +222,5 @@
   curl -X PUT -d '{{"host":"e-1"}}' http://{management}/admin/cordon
 
 "#
-    )
+        )
 }
--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -19,6 +19,7 @@
 
 use crate::clock::Clock;
 use crate::exchange::{Answer, Attempt, AttemptEnd, Engines, Exchange, Intake, Listed, Reports, Served};
+use crate::fence::{self, Fence};
 
 /// How long an id that was in use is not taken again. Ids are new with every request: one that comes again is a
 /// client's mistake, and its bytes may mean something else.
@@ -72,6 +73,9 @@
     gateway: RefCell<Gateway>,
     effects: Vec<Effect>,
     engines: Rc<dyn Engines>,
+    /// Whether anything may be sent, where that is not always so.
+    fence: Option<Rc<dyn Fence>>,
+    turned_away: Cell<u64>,
     open: RefCell<HashMap<QueryId, Open>>,
     spent: RefCell<Spent>,
     events: RefCell<VecDeque<Event>>,
@@ -84,12 +88,20 @@
 impl Dispatch {
     /// Creates a dispatcher over an engine side.
     #[must_use]
-    pub fn new(clock: Clock, settings: Settings, seed: u64, engines: Rc<dyn Engines>) -> Rc<Self> {
+    pub fn new(
+        clock: Clock,
+        settings: Settings,
+        seed: u64,
+        engines: Rc<dyn Engines>,
+        fence: Option<Rc<dyn Fence>>,
+    ) -> Rc<Self> {
         Rc::new(Dispatch {
             clock,
             effects: settings.classes.iter().map(|c| c.effect).collect(),
             gateway: RefCell::new(Gateway::new(settings, seed)),
             engines,
+            fence,
+            turned_away: Cell::new(0),
             open: RefCell::default(),
             spent: RefCell::default(),
             events: RefCell::new(VecDeque::from([Event::Woke])),
@@ -125,19 +137,38 @@
     /// Gives every request still open its answer, as the process ends: a refusal where the class lets it
     /// be repeated, else a failure.
     pub fn close(&self) {
+        self.turn_away(&Answer::Closing, |_| true);
+    }
+
+    /// Gives every request that waits to be sent its answer, as the fence is shut. What is out may still come back.
+    pub fn shut(&self) {
+        self.turn_away(&Answer::Stale, |o| o.out.is_none());
+    }
+
+    fn turn_away(&self, refusal: &Answer, which: impl Fn(&Open) -> bool) {
         let open = self.open.borrow();
-        let rest: Vec<_> = open.iter().filter(|(_, o)| !o.answered).map(|(id, _)| *id).collect();
+        let rest: Vec<_> = open.iter().filter(|(_, o)| !o.answered && which(o)).map(|(id, _)| *id).collect();
         drop(open);
         for id in rest {
             if let Some(o) = self.open.borrow().get(&id) {
-                // A repeat of a deduplicated request may have to stay with its engines: it fails instead.
-                let harmless = o.effect == Effect::Idempotent || o.attempts == 0;
-                o.exchange.settle(if harmless { Answer::Closing } else { Answer::Failed });
+                o.exchange.settle(fence::turned_away(o.effect, o.attempts, refusal.clone()));
             }
             self.withdraw(id);
         }
     }
 
+    fn may_send(&self) -> bool {
+        let open = self.fence.as_ref().is_none_or(|f| f.is_open());
+        self.turned_away.set(self.turned_away.get() + u64::from(!open));
+        open
+    }
+
+    /// Requests and attempts that the fence has turned away.
+    #[must_use]
+    pub fn turned_away(&self) -> u64 {
+        self.turned_away.get()
+    }
+
     /// Fires timers for ever.
     pub async fn run_timers(&self) {
         let mut timer = Timer::never();
@@ -228,8 +259,15 @@
         o.attempts += 1;
         let deadline = o.exchange.request.deadline();
         let until = if timeout == 0 { deadline } else { deadline.min(now + timeout) };
+        let may_send = self.may_send();
+        if !may_send && !std::mem::replace(&mut o.answered, true) {
+            o.exchange.settle(fence::turned_away(o.effect, number, Answer::Stale));
+        }
         if o.answered || o.out.is_some() || until <= now {
             let end = ended(id, number, engine, Outcome::Superseded, o.answered, 0, None);
+            if !may_send && o.out.is_none() {
+                self.strike(&mut open, id);
+            }
             drop(open);
             self.events.borrow_mut().push_back(end);
             return;
@@ -285,6 +323,10 @@
 impl Intake for Dispatch {
     fn submit(&self, exchange: &Rc<Exchange>) -> bool {
         let id = exchange.request.query.id;
+        if !self.may_send() {
+            exchange.settle(Answer::Stale);
+            return true;
+        }
         let mut open = self.open.borrow_mut();
         // An engine that meets an id again takes it for a further attempt of the first request, whose turn and
         // whose answer have passed.
@@ -351,7 +393,13 @@
 
     /// An engine side that notes what it is told and ends nothing by itself.
     #[derive(Default)]
-    struct Notes(RefCell<Vec<String>>);
+    struct Notes(RefCell<Vec<String>>, Cell<bool>);
+
+    impl Fence for Notes {
+        fn is_open(&self) -> bool {
+            !self.1.get()
+        }
+    }
 
     impl Engines for Notes {
         fn send(&self, a: Attempt) {
@@ -385,7 +433,8 @@
             ..Settings::default()
         };
         let notes = Rc::new(Notes::default());
-        let d = Dispatch::new(Clock::start(), settings, 7, Rc::<Notes>::clone(&notes));
+        let fence: Rc<dyn Fence> = Rc::<Notes>::clone(&notes);
+        let d = Dispatch::new(Clock::start(), settings, 7, Rc::<Notes>::clone(&notes), Some(fence));
         let engine = |id| Engine { id, zone: 0, kind: 0, cell: 0, state: EngineState::Ready, started: None };
         let addr = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
         let list: Vec<_> = (0..engines).map(|id| Listed { engine: engine(id), addr }).collect();
@@ -487,6 +536,27 @@
         assert!(answer(&exchange).is_none() && d.open.borrow().is_empty());
     }
 
+    /// While the fence is shut nothing is sent, not even again; what comes, and what waits, is told to go elsewhere at
+    /// once, and what is out may still come back.
+    #[test]
+    fn nothing_passes_a_fence_that_is_shut() {
+        let (d, notes) = dispatch(2);
+        let (one, two) = (ask(&d, 1, 60_000_000), ask(&d, 2, 60_000_000));
+        notes.1.set(true);
+        d.ended(end(1, 0, Outcome::Severed));
+        assert!(matches!(answer(&one), Some(Answer::Stale)));
+        d.shut();
+        d.ended(end(2, 0, Outcome::Completed));
+        assert!(matches!(answer(&two), Some(Answer::Served(_))));
+        let three = ask(&d, 3, 60_000_000);
+        assert!(matches!(answer(&three), Some(Answer::Stale)));
+        let sends = notes.0.borrow().iter().filter(|n| n.starts_with("send")).count();
+        assert!(sends == 2 && d.open.borrow().is_empty() && d.turned_away() == 2);
+        notes.1.set(false);
+        let four = ask(&d, 4, 60_000_000);
+        assert!(answer(&four).is_none() && notes.0.borrow().last().unwrap().starts_with("send 4"));
+    }
+
     /// A new priority reaches what is out, but only if it is new.
     #[test]
     fn terms_weigh_what_is_out() {
--- a/violetgate/src/door.rs
+++ b/violetgate/src/door.rs
@@ -16,6 +16,8 @@
     /// Since when it drains.
     since: Cell<Option<Micros>>,
     handed_over: Cell<bool>,
+    /// Nothing may be sent from here.
+    fenced: Cell<bool>,
 }
 
 impl Door {
@@ -34,10 +36,15 @@
         self.since.set(None);
     }
 
+    /// Nothing may be sent from here, or again: clients had better go elsewhere, and may come back at any time.
+    pub fn fence(&self, shut: bool) {
+        self.fenced.set(shut);
+    }
+
     /// The answer to the question whether this front end takes work is no.
     #[must_use]
     pub fn is_closed(&self) -> bool {
-        self.since.get().is_some()
+        self.since.get().is_some() || self.fenced.get()
     }
 
     /// New requests are turned back. The first ones after the call are served: those who send them can't have
--- a/violetgate/src/engine/pool.rs
+++ b/violetgate/src/engine/pool.rs
@@ -17,6 +17,7 @@
 use crate::clock::Clock;
 use crate::config::Link;
 use crate::exchange::{Attempt, AttemptEnd, Engines, Listed, Pages, Reports};
+use crate::fence::Fence;
 use crate::log;
 use crate::stats::Stats;
 
@@ -37,6 +38,8 @@
     clock: Clock,
     link: Link,
     stats: Rc<Stats>,
+    /// Whether anything may be sent, where that is not always so.
+    fence: Option<Rc<dyn Fence>>,
     /// How many connections there may be.
     most: Cell<usize>,
     reports: RefCell<Option<Weak<dyn Reports>>>,
@@ -57,6 +60,7 @@
         clock: Clock,
         link: Link,
         stats: Rc<Stats>,
+        fence: Option<Rc<dyn Fence>>,
         most: usize,
     ) -> Rc<Self> {
         Rc::new_cyclic(|me| Pool {
@@ -65,6 +69,7 @@
             clock,
             link,
             stats,
+            fence,
             most: Cell::new(most),
             reports: RefCell::default(),
             listed: RefCell::default(),
@@ -137,9 +142,21 @@
         self.report(ends);
     }
 
+    fn may_send(&self) -> bool {
+        self.fence.as_ref().is_none_or(|f| f.is_open())
+    }
+
+    /// Writes what the socket takes, but no request that was queued before the fence was shut.
+    fn write(&self, conn: &Conn) -> Result<(), &'static str> {
+        if conn.is_up() && !self.may_send() {
+            self.report(conn.take_unwritten());
+        }
+        conn.flush()
+    }
+
     fn flush(&self, conn: &Rc<Conn>) {
         let was_blocked = conn.blocked.get();
-        if let Err(reason) = conn.flush() {
+        if let Err(reason) = self.write(conn) {
             self.end(conn, reason);
         } else if conn.blocked.get() && !was_blocked {
             // The socket is full: a task of its own waits for it, so that no other engine does.
@@ -150,7 +167,7 @@
                     if stream.writable().await.is_err() {
                         break;
                     }
-                    if let Err(reason) = conn.flush() {
+                    if let Err(reason) = pool.write(&conn) {
                         pool.end(&conn, reason);
                     }
                 }
@@ -193,7 +210,7 @@
         let number = attempt.number;
         let never = |outcome| vec![(query, number, outcome, None, Pages::new())];
         let listed = self.listed.borrow().get(&attempt.engine).cloned();
-        let barred = self.barred.borrow().contains(&attempt.engine);
+        let barred = self.barred.borrow().contains(&attempt.engine) || !self.may_send();
         let Some(listed) = listed.filter(|l| l.engine.state == EngineState::Ready && !barred) else {
             return self.report(never(Outcome::Superseded));
         };
@@ -370,7 +387,7 @@
             tells_cost: true,
         };
         let stats = Rc::new(Stats::new([].into_iter()));
-        let pool = Pool::new(Rc::new(LocalExecutor::new()), Clock::start(), link, stats, most);
+        let pool = Pool::new(Rc::new(LocalExecutor::new()), Clock::start(), link, stats, None, most);
         let ends = Rc::new(Ends::default());
         let reports: Rc<dyn Reports> = Rc::<Ends>::clone(&ends);
         pool.report_to(Rc::downgrade(&reports));
--- a/violetgate/src/exchange.rs
+++ b/violetgate/src/exchange.rs
@@ -80,6 +80,9 @@
     },
     /// Turned away because this process ends; another try does no harm.
     Closing,
+    /// Turned away because this instance can't confirm the state that it shares with others; another instance may
+    /// serve it.
+    Stale,
     /// Failed; it may have had its effect.
     Failed,
     /// Its idempotency key was used with another query; nothing ran.
--- a/violetgate/src/keyed.rs
+++ b/violetgate/src/keyed.rs
@@ -143,7 +143,9 @@
                 Ending::Served(Recorded { served: Rc::clone(served), _grant: Rc::new(grant) })
             }
             // What no engine connection ever had has surely not run.
-            Answer::Refused { .. } | Answer::Closing if leader.trail.borrow().is_empty() => Ending::Harmless,
+            Answer::Refused { .. } | Answer::Closing | Answer::Stale if leader.trail.borrow().is_empty() => {
+                Ending::Harmless
+            }
             _ => Ending::Unknown,
         };
         let waiters = self.keys.borrow_mut().ended(self.now(), key, ending);
--- a/violetgate/src/operations.rs
+++ b/violetgate/src/operations.rs
@@ -1,17 +1,20 @@
 //! What operators' calls mean: the one place that reaches the program's parts for management.
 
 use std::cell::RefCell;
+use std::future::ready;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Timer;
 use linnetreach::interface::Micros;
 
-use crate::admin;
+use crate::admin::{self, Called, Calling};
 use crate::bus::{Ids, Place};
 use crate::clock::Clock;
+use crate::daemon::{Daemon, Unagreed};
 use crate::dispatch::Dispatch;
 use crate::door::Door;
+use crate::fence::Fence;
 use crate::log;
 use crate::rest::Rest;
 use crate::stats::Stats;
@@ -24,6 +27,10 @@
 /// How often the other process's calls are looked for; they hold here, too.
 const LOOK: Duration = Duration::from_millis(50);
 
+/// A call that others have to agree on is answered within this time, and goes by this name in the change log.
+const ANSWER: Duration = Duration::from_millis(900);
+const WHO: &str = "management";
+
 /// What operators' calls reach.
 pub struct Parts {
     /// Where the bus is, and whether it has told anything.
@@ -40,6 +47,8 @@
     pub rest: Option<Rc<Rest>>,
     /// Engines called out, kept.
     pub store: Store,
+    /// The cluster that agrees on all this, if there is one.
+    pub daemon: Option<Rc<Daemon>>,
 }
 
 /// Carries out what operators call for.
@@ -57,12 +66,17 @@
     #[must_use]
     pub fn new(clock: Clock, parts: Parts) -> Rc<Self> {
         let me = Operations { clock, start: clock.now(), parts, cordons: RefCell::default() };
-        me.look();
+        if me.parts.daemon.is_none() {
+            me.look();
+        }
         Rc::new(me)
     }
 
-    /// Follows, for ever, what another process of this front end was told.
+    /// Follows, for ever, what another process of this front end was told. What a cluster agrees on comes another way.
     pub async fn watch(&self) {
+        if self.parts.daemon.is_some() {
+            return;
+        }
         let mut spoilt = false;
         loop {
             Timer::after(LOOK).await;
@@ -107,28 +121,43 @@
 
 impl admin::Operations for Operations {
     fn healthy(&self) -> bool {
-        self.parts.place.heard() || self.clock.now() >= self.start + WAIT.as_micros() as Micros
+        let heard = self.parts.place.heard() || self.clock.now() >= self.start + WAIT.as_micros() as Micros;
+        heard && self.parts.daemon.as_ref().is_none_or(|d| d.is_open())
     }
 
     fn figures(&self) -> String {
         let (known, skipped) = self.parts.dispatch.listed();
         self.parts.stats.text(known, skipped)
             + &self.parts.rest.as_ref().map(|r| r.figures()).unwrap_or_default()
+            + &self.parts.daemon.as_ref().map(|d| d.figures()).unwrap_or_default()
     }
 
-    fn cordon(&self, host: &str) -> bool {
-        self.call(host, true)
+    fn cordon<'a>(&'a self, host: &'a str, out: bool) -> Calling<'a> {
+        let Some(daemon) = &self.parts.daemon else {
+            let called = if self.call(host, out) { Called::Done } else { Called::Unknown };
+            return Box::pin(ready(called));
+        };
+        Box::pin(async move {
+            if !self.parts.ids.known(host) {
+                return Called::Unknown;
+            }
+            agreed(daemon.cordon(host, out, WHO, ANSWER).await)
+        })
     }
 
-    fn uncordon(&self, host: &str) -> bool {
-        self.call(host, false)
-    }
-
-    fn quiesce(&self) {
-        self.parts.door.quiesce(self.clock.now());
+    fn drain(&self, on: bool) -> Calling<'_> {
+        let Some(daemon) = &self.parts.daemon else {
+            if on {
+                self.parts.door.quiesce(self.clock.now());
+            } else {
+                self.parts.door.resume();
+            }
+            return Box::pin(ready(Called::Done));
+        };
+        Box::pin(async move { agreed(daemon.drain(on, WHO, ANSWER).await) })
     }
+}
 
-    fn resume(&self) {
-        self.parts.door.resume();
-    }
+fn agreed(done: Result<(), Unagreed>) -> Called {
+    done.map_or(Called::Unagreed, |()| Called::Done)
 }
--- a/violetgate/src/rest/mod.rs
+++ b/violetgate/src/rest/mod.rs
@@ -24,7 +24,7 @@
 use futures_lite::{future, FutureExt};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Bytes, Incoming};
-use hyper::header::{HeaderValue, ALLOW, CACHE_CONTROL, CONNECTION, CONTENT_TYPE, LINK, RETRY_AFTER};
+use hyper::header::{HeaderValue, CACHE_CONTROL, CONNECTION, CONTENT_TYPE, LINK};
 use hyper::{Response, StatusCode};
 use linnetreach::interface::{Micros, QueryId};
 use rand_chacha::rand_core::RngCore;
@@ -39,11 +39,12 @@
 use crate::keyed::Keyed;
 use crate::log;
 use crate::net;
+use crate::problem::Problem;
 use crate::room::{Guest, Room};
 use crate::settings;
 use crate::stats::{Ending, Stats};
 use line::{At, Line, Patience, Watched};
-use wire::{Page, Problem, Route};
+use wire::{Page, Route};
 
 /// The pause after the machine gave no connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
@@ -316,7 +317,7 @@
                 if problem.closes {
                     line.unread.set(true);
                 }
-                respond(&problem)
+                problem.response()
             }
         };
         let now = self.core.clock.now();
@@ -433,6 +434,10 @@
                     Problem::new(refused, "busy", "too busy to serve this query").after(retry_after)
                 }
                 Answer::Closing => draining(),
+                Answer::Stale => {
+                    let detail = "this instance is cut off from the others; another one may serve it";
+                    Problem::new(refused, "isolated", detail).after(0)
+                }
                 Answer::Failed => Problem::new(
                     StatusCode::BAD_GATEWAY,
                     "failed",
@@ -546,25 +551,6 @@
     reply
 }
 
-fn respond(problem: &Problem) -> Reply {
-    let mut reply = Response::new(Full::from(problem.body()));
-    *reply.status_mut() = problem.status;
-    let headers = reply.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
-    headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-store"));
-    if let Some(seconds) = problem.retry_seconds() {
-        headers.insert(RETRY_AFTER, HeaderValue::from(seconds));
-    }
-    if problem.status == StatusCode::METHOD_NOT_ALLOWED {
-        let allow = problem.detail.rsplit("takes ").next().and_then(|a| HeaderValue::from_str(a).ok());
-        headers.extend(allow.map(|a| (ALLOW, a)));
-    }
-    if problem.closes {
-        headers.insert(CONNECTION, HeaderValue::from_static("close"));
-    }
-    reply
-}
-
 /// Writes a problem where no server does, in one write that an empty socket takes whole.
 fn raw(stream: &Async<TcpStream>, problem: &Problem) {
     let body = problem.body();
--- a/violetgate/src/serve.rs
+++ b/violetgate/src/serve.rs
@@ -22,10 +22,12 @@
 use crate::client::session::Sessions;
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::daemon::{self, Daemon};
 use crate::dispatch::Dispatch;
 use crate::door::Door;
 use crate::engine::pool::Pool;
 use crate::exchange::{Engines, Intake, Listed, Reports};
+use crate::fence::Fence;
 use crate::keyed::Keyed;
 use crate::operations::{Operations, Parts};
 use crate::presence::Presence;
@@ -138,12 +140,16 @@
 
 /// SIGHUP: reads the configuration and the settings anew. Of what they hold, the place of the bus can change in a
 /// running program, and the settings that say so; where either can't be used, nothing changes.
-fn reload(place: &Place, settings: Option<&Path>, rest: Option<&Rest>) {
+fn reload(place: &Place, settings: Option<&Path>, rest: Option<&Rest>, daemon: Option<&Daemon>) {
     let read = || Ok::<_, String>((Config::from_env()?, settings::read(settings)?));
     match read() {
         Ok((config, settings)) => {
             log::line(format_args!("violetgate read its configuration again: bus {}", config.bus));
             place.move_to(config.bus);
+            let settings = daemon.map_or(settings.clone(), |daemon| {
+                daemon.own(&settings);
+                daemon.settings()
+            });
             match (rest, &settings.rest) {
                 (Some(rest), Some(settings)) => rest.limit(settings),
                 (None, None) => {}
@@ -171,6 +177,8 @@
         return Err(format!("`rest.listen`: {} is where others connect", r.listen));
     }
     let rest_listener = wanted.map(|r| bind("rest.listen", r.listen)).transpose()?.map(Rc::new);
+    let given = settings.cluster.as_ref();
+    let api_listener = given.map(|c| bind("cluster.api", c.api)).transpose()?;
     let presence = enter(&config.listen);
     let longest = config.settings.classes.iter().filter_map(|c| c.deadline).max();
     let longest = Duration::from_micros(longest.unwrap_or(0));
@@ -183,24 +191,25 @@
     let share = Share::of(config.sockets, part, wanted);
     let stats = Rc::new(Stats::new(config.names.classes.iter().map(|c| c.0.as_str())));
     let counts = Rc::clone(&stats);
-    let pool = Pool::new(Rc::clone(&executor), clock, config.link, counts, share.engines);
+    let daemon = given.map(|c| Daemon::start(&executor, settings, c, config.seed)).transpose()?;
+    let fence = daemon.clone().map(|d| d as Rc<dyn Fence>);
+    let pool = Pool::new(Rc::clone(&executor), clock, config.link, counts, fence.clone(), share.engines);
     let engines: Rc<dyn Engines> = Rc::<Pool>::clone(&pool);
     let classes = config.settings.classes.clone();
-    let dispatch = Dispatch::new(clock, config.settings, config.seed, engines);
+    let dispatch = Dispatch::new(clock, config.settings, config.seed, engines, fence);
     let reports: Rc<dyn Reports> = Rc::<Dispatch>::clone(&dispatch);
     let reports: Weak<dyn Reports> = Rc::downgrade(&reports);
     pool.report_to(reports);
 
     let ids = Rc::new(Ids::default());
-    let mut bus = Bus::new(config.names.clone(), Rc::clone(&ids));
+    let place = Rc::new(Place::new(config.bus, daemon.is_some()));
+    let mut bus = Bus::new(config.names.clone(), Rc::clone(&ids), Rc::clone(&place));
     let news = Rc::clone(&dispatch);
     let mut tell = move |scope: ListScope, listed: &[Listed]| news.news(scope, listed);
     bus.known(config.known.0, config.known.1, &mut tell);
 
     // The bus is the first task, so that its news come before requests read in the same turn.
-    let place = Rc::new(Place::new(config.bus));
-    let followed = Rc::clone(&place);
-    executor.spawn(async move { bus.follow(&followed, &mut tell).await }).detach();
+    executor.spawn(async move { bus.follow(&mut tell).await }).detach();
     let timers = Rc::clone(&dispatch);
     executor.spawn(async move { timers.run_timers().await }).detach();
     let swept = Rc::clone(&pool);
@@ -253,6 +262,18 @@
     if let Some(rest) = rest.clone() {
         executor.spawn(async move { rest.sweep().await }).detach();
     }
+    if let (Some(daemon), Some(listener)) = (&daemon, api_listener) {
+        let parts = daemon::Parts {
+            clock,
+            dispatch: Rc::clone(&dispatch),
+            door: Rc::clone(&door),
+            ids: Rc::clone(&ids),
+            place: Rc::clone(&place),
+            rest: rest.clone(),
+        };
+        daemon.attach(&executor, parts);
+        executor.spawn(daemon::listen(Rc::clone(daemon), Rc::clone(&executor), listener)).detach();
+    }
     let store = Store::new(shared_file(&config.listen, "cordons"));
     let parts = Parts {
         place: Rc::clone(&place),
@@ -262,6 +283,7 @@
         stats,
         rest: rest.clone(),
         store,
+        daemon: daemon.clone(),
     };
     let operations = Operations::new(clock, parts);
     let watch = Rc::clone(&operations);
@@ -279,10 +301,17 @@
         log::line(format_args!("violetgate {} listens on {} for REST", config.name, r.listen));
     }
 
+    if let Some(c) = given {
+        log::line(format_args!(
+            "violetgate {} is member {} of cluster {} at {}, its api at {}",
+            config.name, c.id, c.name, c.listen, c.api
+        ));
+    }
+
     async_io::block_on(executor.run(async {
         let name = loop {
             match signals.next().await {
-                Some(Ok(Signal::Hup)) => reload(&place, file.as_deref(), rest.as_deref()),
+                Some(Ok(Signal::Hup)) => reload(&place, file.as_deref(), rest.as_deref(), daemon.as_deref()),
                 Some(Ok(Signal::Int)) => break "SIGINT",
                 _ => break "SIGTERM",
             }
@@ -290,12 +319,12 @@
         let open = sessions.busy() + rest.as_ref().map_or(0, |r| r.owing());
         log::line(format_args!("violetgate ends after {name}: {open} requests open"));
         // It goes on serving, and a bus that moves now is still followed.
-        let reloaded = rest.clone();
+        let (reloaded, member) = (rest.clone(), daemon.clone());
         executor
             .spawn(async move {
                 while let Some(signal) = signals.next().await {
                     if matches!(signal, Ok(Signal::Hup)) {
-                        reload(&place, file.as_deref(), reloaded.as_deref());
+                        reload(&place, file.as_deref(), reloaded.as_deref(), member.as_deref());
                     }
                 }
             })
--- a/violetgate/src/settings/schema.rs
+++ b/violetgate/src/settings/schema.rs
@@ -18,6 +18,12 @@
     Span(u64, u64),
     /// A number of bytes with its unit, within these bounds.
     Bytes(u64, u64),
+    /// Text of at most so many bytes; a name has no more than letters, digits, `.`, `-` and `_`.
+    Name(usize),
+    /// The path of a folder.
+    Folder,
+    /// Members of a cluster: their addresses by their ids.
+    Members,
 }
 
 /// One key of a block.
@@ -47,7 +53,7 @@
 }
 
 /// All blocks.
-pub const BLOCKS: &[Block] = &[LOG, REST];
+pub const BLOCKS: &[Block] = &[LOG, REST, CLUSTER];
 
 const LOG: Block = Block {
     name: "log",
@@ -159,6 +165,94 @@
     ],
 };
 
+const CLUSTER: Block = Block {
+    name: "cluster",
+    about: "This instance as a member of a cluster (docs/daemon-operations.md). Without this block it shares nothing. \
+            Its folder is made once, by `violetgate members init`.",
+    keys: &[
+        Key {
+            name: "name",
+            kind: Kind::Name(64),
+            default: None,
+            reloads: false,
+            about: "The cluster's name. Members of another one are turned away.",
+        },
+        Key {
+            name: "id",
+            kind: Kind::Count(1, 65_535),
+            default: None,
+            reloads: false,
+            about: "This member's id. Ids are never used twice: one that lost its disk joins under the next.",
+        },
+        Key {
+            name: "folder",
+            kind: Kind::Folder,
+            default: None,
+            reloads: false,
+            about: "Where this member keeps its log and its snapshots, on a disk that outlasts it.",
+        },
+        Key {
+            name: "listen",
+            kind: Kind::Address,
+            default: None,
+            reloads: false,
+            about: "Where other members connect. They are not asked who they are beyond cluster, id and disk.",
+        },
+        Key {
+            name: "api",
+            kind: Kind::Address,
+            default: None,
+            reloads: false,
+            about: "Where operators read and change what is agreed on, with `violetgate ctl` or curl. It asks nobody \
+                    who they are.",
+        },
+        Key {
+            name: "members",
+            kind: Kind::Members,
+            default: None,
+            reloads: true,
+            about: "Where the members are, as this one reaches them. Those that join later are known from the cluster \
+                    itself.",
+        },
+        Key {
+            name: "drain_limit",
+            kind: Kind::Span(300, 2_000),
+            default: Some("\"2s\""),
+            reloads: false,
+            about: "Nothing is sent on state that was last confirmed longer ago. It is at most the time in which drains \
+                    are honoured, and has to be one everywhere.",
+        },
+        Key {
+            name: "confirm_every",
+            kind: Kind::Span(20, 1_000),
+            default: Some("\"250ms\""),
+            reloads: false,
+            about: "How often the state is confirmed; at most a third of `drain_limit`.",
+        },
+        Key {
+            name: "election_timeout",
+            kind: Kind::Span(50, 10_000),
+            default: Some("\"500ms\""),
+            reloads: false,
+            about: "Without a sign of the leader for this long, up to twice as long, a member asks for votes.",
+        },
+        Key {
+            name: "heartbeat",
+            kind: Kind::Span(10, 1_000),
+            default: Some("\"100ms\""),
+            reloads: false,
+            about: "How often a leader gives a sign; at most a third of `election_timeout`.",
+        },
+        Key {
+            name: "snapshot_every",
+            kind: Kind::Count(10, 10_000_000),
+            default: Some("10000"),
+            reloads: false,
+            about: "Entries of the log between two snapshots.",
+        },
+    ],
+};
+
 /// Reads a span: a number and `ms`, `s`, `m` or `h`.
 #[must_use]
 pub fn span(text: &str) -> Option<Duration> {
@@ -196,6 +290,13 @@
                 .and_then(span)
                 .is_some_and(|s| within(u64::try_from(s.as_millis()).unwrap_or(u64::MAX), least, most)),
             Kind::Bytes(least, most) => text.and_then(bytes).is_some_and(|n| within(n, least, most)),
+            Kind::Name(most) => text.is_some_and(|t| {
+                let plain = |b: u8| b.is_ascii_alphanumeric() || b"._-".contains(&b);
+                !t.is_empty() && t.len() <= most && t.bytes().all(plain)
+            }),
+            Kind::Folder => text.is_some_and(|t| !t.is_empty()),
+            // It is no single value: checked by its parts.
+            Kind::Members => false,
         };
         if good {
             Ok(())
@@ -217,6 +318,9 @@
             Kind::Bytes(least, most) => {
                 format!("a size in quotes from \"{}KiB\" to \"{}MiB\"", least >> 10, most >> 20)
             }
+            Kind::Name(most) => format!("a name in quotes: {most} letters, digits, `.`, `-` or `_` at most"),
+            Kind::Folder => "a path in quotes".to_owned(),
+            Kind::Members => "members by id, such as { \"1\" = \"10.0.0.1:7480\" }".to_owned(),
         }
     }
 }
--- a/violetgate/tests/support/mod.rs
+++ b/violetgate/tests/support/mod.rs
@@ -4,7 +4,7 @@
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 use std::ops::{Deref, DerefMut};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -71,6 +71,11 @@
     /// Starts one before `engines` engines; `rest` are lines of its `rest` block, `window` is how long engines
     /// discard a repeat of a `load`.
     pub fn start(engines: usize, rest: &str, window: f64) -> Self {
+        Self::begin(engines, rest, window, |_| String::new())
+    }
+
+    /// The same with further blocks, for which a member's folder is made if one of them is `cluster`.
+    pub fn begin(engines: usize, rest: &str, window: f64, more: impl Fn(&Path) -> String) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let (listen, at) = (reserved(), reserved());
         let name = format!("violetgate-{}-rest-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
@@ -81,7 +86,17 @@
         told["classes"][2]["window"] = window.into();
         let config = fleet.config("n0", &listen, &told);
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
-        std::fs::write(folder.join("violetgate.hcl"), hcl(&at, rest)).unwrap();
+        let more = more(&folder);
+        std::fs::write(folder.join("violetgate.hcl"), hcl(&at, rest) + &more).unwrap();
+        if !more.is_empty() {
+            let made = violetgate(&[
+                "members",
+                "init",
+                "--settings",
+                folder.join("violetgate.hcl").to_str().unwrap(),
+            ]);
+            assert!(made.0, "{}", made.1);
+        }
         let management = reserved();
         let child = Self::spawn(&folder, &listen, &management, Stdio::null());
         let front = Front { fleet, child, listen, rest: at, management, folder };
@@ -89,7 +104,7 @@
         front
     }
 
-    fn spawn(folder: &std::path::Path, listen: &str, management: &str, log: Stdio) -> Child {
+    fn spawn(folder: &Path, listen: &str, management: &str, log: Stdio) -> Child {
         Command::new(env!("CARGO_BIN_EXE_violetgate"))
             .arg("--settings")
             .arg(folder.join("violetgate.hcl"))
@@ -111,6 +126,19 @@
         self.healthy();
     }
 
+    /// Starts the process anew, which need not become ready.
+    pub fn start_again(&mut self) {
+        self.child = Self::spawn(&self.folder, &self.listen, &self.management, Stdio::null());
+        connect(&self.rest);
+    }
+
+    /// Starts a process that is to end by itself: its exit code and its log.
+    pub fn start_in_vain(&mut self) -> (Option<i32>, String) {
+        let child = Self::spawn(&self.folder, &self.listen, &self.management, Stdio::piped());
+        let out = child.wait_with_output().unwrap();
+        (out.status.code(), String::from_utf8(out.stderr).unwrap())
+    }
+
     /// Waits until the process is ready and listens for REST.
     pub fn healthy(&self) {
         until("healthy", || self.call("GET", "/admin/health", "").0 == 200);
@@ -162,6 +190,13 @@
     }
 }
 
+/// Runs the program to its end: whether it went well, and what it wrote.
+pub fn violetgate(args: &[&str]) -> (bool, String) {
+    let out = Command::new(env!("CARGO_BIN_EXE_violetgate")).args(args).output().unwrap();
+    let text = [out.stdout, out.stderr].concat();
+    (out.status.success(), String::from_utf8(text).unwrap())
+}
+
 pub fn hcl(rest: &str, lines: &str) -> String {
     format!("rest {{\n  listen = \"{rest}\"\n{lines}\n}}\n")
 }
