Let one of many front ends keep to some ten engines, for a third of the connections

Ruled out: idle closing (0 such), breaks (21 resets), retries (1.04 attempts a request). At fault was the end of choose in src/rules.rs: among engines with nothing of its own out, a gateway whose part of each is under a query drew at random, so a front end of 10 requests a second met all 80 engines within 10 s and came back to none.

Change: of equally free engines near it, those come first whose number for this gateway (lot, src/state.rs) is under 10 / (usable engines near it); if they are taken, cold, ejected or gone, the others serve as before.

A demo refuses ports in use.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -13,7 +13,7 @@
     Action, Class, Cost, DedupGroup, Effect, Ended, Engine, EngineId, EngineState, Event, ListScope, Load,
     Micros, NewQuery, Outcome, Progress, QueryId, Settings,
 };
-use crate::state::{micros, secs, Attempt, Book, Fleet, Health, Learned, Node, Query};
+use crate::state::{lot, micros, secs, Attempt, Book, Fleet, Health, Learned, Node, Query};
 
 /// Threads a core that all gateways together may hold at an engine before any widening.
 const THREADS_PER_CORE: f64 = 2.0;
@@ -94,6 +94,9 @@
 /// A line for memory cuts the share that this gateway grants there to this; each good answer adds a step.
 const LINE_CUT: f64 = 0.7;
 const SHARE_STEP: f64 = 0.02;
+/// Engines near it that a gateway keeps to while they are free, where its part of each is less than a query: what
+/// it opens to others and learns of them is lost before it is used again. It hurts where few of them are any good.
+const HOMES: f64 = 10.0;
 /// The part of a base bound up to which an engine counts as lightly used.
 const ALONE: f64 = 0.4;
 /// Expected work of a class of which nothing is known, as a share of its aim.
@@ -110,6 +113,7 @@
     book: Book,
     learned: Vec<Learned>,
     fleet: Fleet,
+    own: u64,
 }
 
 impl Gateway {
@@ -121,6 +125,7 @@
         Gateway {
             gateways: f64::from(settings.gateways.unwrap_or(1).max(1)),
             rng: ChaCha8Rng::seed_from_u64(seed),
+            own: seed,
             now: 0,
             nodes: BTreeMap::new(),
             book: Book::new(classes),
@@ -484,7 +489,9 @@
             return None;
         }
         let mut best: Vec<EngineId> = Vec::new();
-        let mut most = (false, false, f64::NEG_INFINITY, false, 0.0, 0.0);
+        let near = |n: &Node| self.s.zone.is_none_or(|z| z == n.listed.zone);
+        let around = self.nodes.values().filter(|n| near(n) && self.healthy(n)).count();
+        let mut most = (false, false, f64::NEG_INFINITY, false, false, 0.0, 0.0);
         for (&e, n) in &self.nodes {
             if !self.legal(q, n) || !self.fits(q, n) {
                 continue;
@@ -492,17 +499,25 @@
             // Bounds under a thread count by chance of that size: else all choose the largest kind.
             let (bound, part) = (self.bound(n), self.base_bound(n.cores) < 1.0);
             let draw = if part { f64::from(self.rng.next_u32()) + 0.5 } else { 1.0 };
-            let near = self.s.zone.is_none_or(|z| z == n.listed.zone);
+            let home = part && lot(self.own, e) * (around as f64) < HOMES;
             // Its chance paces a cold engine already where this gateway's part is less than a query.
             let weight = bound / self.warmth(n).max(1e-3);
             // Free threads count against the base; a widened bound says only whether a query fits. Else the
             // first engine to widen takes all, from every gateway, while the others, idle, never widen.
             let base = if bound > 0.0 { self.base_bound(n.cores) * self.warmth(n) } else { 0.0 };
-            let (own, lot) = if part { (0.0, (draw / 4_294_967_296.0).ln() / weight) } else { (base, 0.0) };
+            let (own, draw) = if part { (0.0, (draw / 4_294_967_296.0).ln() / weight) } else { (base, 0.0) };
             // One called back looks the least free while it is cold: it is tried at once, by a short query.
             let short = q.work <= self.fleet.work.mean;
             let first = n.untried && n.out.is_empty() && short && self.repeatable(q);
-            let free = (q.avoid != Some(e), first, own - self.ahead(q, &n.threads), near, self.ease(n), lot);
+            let free = (
+                q.avoid != Some(e),
+                first,
+                own - self.ahead(q, &n.threads),
+                near(n),
+                home,
+                self.ease(n),
+                draw,
+            );
             if free > most {
                 most = free;
                 best.clear();
--- a/src/state.rs
+++ b/src/state.rs
@@ -138,6 +138,14 @@
     pub untried: bool,
 }
 
+/// A number from 0 to 1 that stays with a gateway and an engine, and is as good as drawn for each pair.
+pub(crate) fn lot(own: u64, engine: EngineId) -> f64 {
+    let mut z = own ^ u64::from(engine).wrapping_add(1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+}
+
 impl Node {
     pub fn new(
         listed: Engine,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -43,7 +43,11 @@
 
 impl Bench {
     pub fn new(settings: Settings, engines: Vec<Engine>) -> Self {
-        let mut bench = Bench { gateway: Gateway::new(settings, 7), now: S };
+        Self::seeded(settings, engines, 7)
+    }
+
+    pub fn seeded(settings: Settings, engines: Vec<Engine>, seed: u64) -> Self {
+        let mut bench = Bench { gateway: Gateway::new(settings, seed), now: S };
         bench.event(Event::Engines { scope: ListScope::Whole, engines });
         bench
     }
--- a/tools/prove/src/daemon.rs
+++ b/tools/prove/src/daemon.rs
@@ -35,7 +35,8 @@
     folder: PathBuf,
     program: PathBuf,
     child: Mutex<Option<Child>>,
-    /// Counts what was done to it: a request that sees two values met trouble made on purpose.
+    /// Counts what was done to it; odd while it lasts. A request that sees two values, or an odd one, met trouble made
+    /// on purpose.
     disturbed: AtomicU64,
     /// Processes that ended by themselves.
     pub crashed: AtomicU64,
@@ -61,13 +62,15 @@
         self.disturbed.load(SeqCst)
     }
 
-    fn disturb(&self) {
-        self.disturbed.fetch_add(1, SeqCst);
+    /// Trouble begins here, or has ended.
+    fn disturb(&self, lasts: bool) {
+        let step = |mark: u64| Some(if (mark % 2 == 1) == lasts { mark } else { mark + 1 });
+        let _ = self.disturbed.fetch_update(SeqCst, SeqCst, step);
     }
 
     /// Kills it. What ended by itself before is a crash.
     pub fn kill(&self) {
-        self.disturb();
+        self.disturb(true);
         if let Some(mut child) = lock(&self.child).take() {
             if !matches!(child.try_wait(), Ok(None)) {
                 self.crashed.fetch_add(1, SeqCst);
@@ -75,7 +78,6 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        self.disturb();
     }
 
     /// Starts it again, with the disk that it had.
@@ -84,8 +86,9 @@
     ///
     /// It can't be started.
     pub fn restart(&self) -> Result<()> {
-        self.disturb();
-        self.start()
+        self.start()?;
+        self.disturb(false);
+        Ok(())
     }
 
     fn signal(&self, signal: Signal) {
@@ -97,8 +100,13 @@
 
     /// Stops it, or lets it go on.
     pub fn pause(&self, stop: bool) {
-        self.disturb();
+        if stop {
+            self.disturb(true);
+        }
         self.signal(if stop { Signal::STOP } else { Signal::CONT });
+        if !stop {
+            self.disturb(false);
+        }
     }
 
     /// Its process's id.
--- a/violetgate/src/demo.rs
+++ b/violetgate/src/demo.rs
@@ -88,6 +88,14 @@
     let program = std::env::current_exe().map_err(|e| format!("this program's path: {e}"))?;
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     let instances: Vec<_> = (0..demo.instances).map(|n| Instance::new(demo, n)).collect();
+    for instance in &instances {
+        let Instance { listen, rest, management, peer, api } = instance;
+        let own = if demo.instances > 1 { 5 } else { 3 };
+        // Front ends share their ports with their successors, and would with another demo, without a word.
+        for at in [listen, rest, management, peer, api].into_iter().take(own) {
+            std::net::TcpListener::bind(at).map_err(|e| format!("{at}: {e}; is there another demo?"))?;
+        }
+    }
     let members: String =
         instances.iter().zip(1..).map(|(i, id)| format!("    \"{id}\" = \"{}\"\n", i.peer)).collect();
     let mut children = Vec::new();
