--- a/src/rules.rs
+++ b/src/rules.rs
@@ -94,8 +94,8 @@
 /// A line for memory cuts the share that this gateway grants there to this; each good answer adds a step.
 const LINE_CUT: f64 = 0.7;
 const SHARE_STEP: f64 = 0.02;
-/// Engines near it that a gateway keeps to while they are free, where its part of each is less than a query: what
-/// it opens to others and learns of them is lost before it is used again. It hurts where few of them are any good.
+/// Engines near it that a gateway keeps to while they are free, where its part of each is under a query: its
+/// connections and what it learns would be old before it came again. It hurts where few of them are good.
 const HOMES: f64 = 10.0;
 /// The part of a base bound up to which an engine counts as lightly used.
 const ALONE: f64 = 0.4;
