Pass listening sockets between two processes over a Unix socket

Change: handover/src/carrier.rs: a socket of mode 0600 in the folder that both share, the peer's user asked of the machine, frames of one message, up to two descriptors with an Offer (rustix, no unsafe). What the dead left is taken away, the living keep their place. Not used by the program yet.

Measured: tests on real sockets: a connection made before the listener was passed is taken by the one that got it after the other has closed it; a frame cut at every byte is whole or nothing.

--- a/handover/src/lib.rs
+++ b/handover/src/lib.rs
@@ -1,10 +1,11 @@
 //! What two processes of one front end say to each other at an upgrade: who listens, who takes idempotency keys, and what
 //! the old one knows that the new one has to know. Input in, actions out, time injected; docs/handover.md is the design.
 //!
-//! [`Old`] and [`New`] are the two ends. At every step each knows whether it takes clients and whether it takes keys. It
+//! [`Old`] and [`New`] are the two ends, without I/O; [`carrier`] carries what they say. At every step each knows whether it takes clients and whether it takes keys. It
 //! must never let both take keys, nor leave the clients' port to nobody: whatever is lost, late or refused, the old
 //! process goes on as it was, and the new one falls back to a port of its own beside it.
 
+pub mod carrier;
 mod new;
 mod old;
 
