Count requests, not attempts, in a test that a busy machine could fail

Ruled out: a refused query that ran, as each has an id of its own; the third attempt was a repeat of a kept one that had stood still. At fault was the test, which took attempts for requests. Change: it counts ids that reached the engines. The proofs share how they end.

--- a/tools/prove/src/bin/prove-daemon.rs
+++ b/tools/prove/src/bin/prove-daemon.rs
@@ -16,7 +16,7 @@
 use serde_json::{json, Value};
 use violetgate_linear::{first, fits, Call, Deed};
 use violetgate_prove::daemon::{Cluster, Instance};
-use violetgate_prove::{inside, Verdict};
+use violetgate_prove::{ended, inside, Verdict};
 use violetgate_standin::{Fleet, Profile};
 
 /// Proves the replicated daemon.
@@ -65,15 +65,7 @@
 }
 
 fn main() -> ExitCode {
-    let given = Given::parse();
-    match prove(&given) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            println!("prove-daemon could not run: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    ended("prove-daemon", prove(&Given::parse()))
 }
 
 fn prove(given: &Given) -> Result<bool> {
--- a/tools/prove/src/bin/prove-rest.rs
+++ b/tools/prove/src/bin/prove-rest.rs
@@ -11,7 +11,7 @@
 
 use clap::Parser;
 use serde_json::{json, Value};
-use violetgate_prove::{open_loop, Met, Program, Verdict};
+use violetgate_prove::{ended, open_loop, Met, Program, Verdict};
 use violetgate_standin::client::{Http, Pg, Reply};
 use violetgate_standin::{Fleet, Profile};
 
@@ -56,15 +56,7 @@
 }
 
 fn main() -> ExitCode {
-    let given = Given::parse();
-    match prove(&given) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            println!("prove-rest could not run: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    ended("prove-rest", prove(&Given::parse()))
 }
 
 fn prove(given: &Given) -> Result<bool> {
--- a/tools/prove/src/bin/prove-run.rs
+++ b/tools/prove/src/bin/prove-run.rs
@@ -10,7 +10,7 @@
 
 use clap::Parser;
 use object::{Object, ObjectSymbol};
-use violetgate_prove::{free, Verdict};
+use violetgate_prove::{ended, free, Verdict};
 use violetgate_standin::client::{Http, Pg};
 use violetgate_standin::{Fleet, Profile};
 
@@ -27,14 +27,7 @@
 const WAIT: Duration = Duration::from_secs(20);
 
 fn main() -> ExitCode {
-    match prove(&Given::parse()) {
-        Ok(true) => ExitCode::SUCCESS,
-        Ok(false) => ExitCode::FAILURE,
-        Err(e) => {
-            println!("prove-run could not run: {e}");
-            ExitCode::FAILURE
-        }
-    }
+    ended("prove-run", prove(&Given::parse()))
 }
 
 struct Killed(Child);
--- a/tools/prove/src/lib.rs
+++ b/tools/prove/src/lib.rs
@@ -8,7 +8,7 @@
 use std::io::{Error, Result};
 use std::net::TcpStream;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -128,6 +128,19 @@
     }
 }
 
+/// The exit code of a proof, which says why where it could not be made.
+#[must_use]
+pub fn ended(name: &str, proved: Result<bool>) -> ExitCode {
+    match proved {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(e) => {
+            println!("{name} could not run: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 /// What a load met.
 pub struct Met {
     /// Latency in microseconds, each counted from when its request was due and not from when it could be sent.
--- a/violetgate/tests/rest.rs
+++ b/violetgate/tests/rest.rs
@@ -233,12 +233,15 @@
     let front = Front::start(2, "  results_bytes = \"150KiB\"", WINDOW);
     let ask = report(30_000, "rows=900 width=53");
     let kept: Vec<Reply> = (0..2).map(|_| front.ask(&ask, None)).collect();
+    // Of those that are kept, one may have been tried twice on a machine that is busy.
+    let before = front.fleet.counts().by_request.len();
     for _ in 0..5 {
         let refused = front.ask(&ask, None);
         assert_eq!((refused.status, refused.kind().as_str()), (503, "results-full"));
         assert!(refused.headers["retry-after"].parse::<u64>().unwrap() >= 1);
     }
-    assert_eq!(front.fleet.counts().attempts(), 2, "what is refused never ran");
+    assert_eq!(before, 2);
+    assert_eq!(front.fleet.counts().by_request.len(), before, "what is refused never ran");
     let mut http = front.http();
     for first in &kept {
         assert_eq!(http.get(&first.next().unwrap()).status, 200);
