--- a/tools/prove/src/inside.rs
+++ b/tools/prove/src/inside.rs
@@ -134,7 +134,7 @@
     );
     verdict.figure("log_to_state_bytes", format!("{:.2}", bytes as f64 / state.max(1) as f64));
     verdict.figure("recovery_read_s", format!("{:.2}", opened.as_secs_f64()));
-    verdict.at_most("recovery_s", took.as_secs_f64(), 4.0);
+    verdict.at_most("recovery_s", took.as_secs_f64(), 2.0);
     Ok(())
 }
 
