--- /dev/null
+++ b/violetgate/src/dispatch/tests.rs
@@ -0,0 +1,184 @@
+//! What the dispatcher owes the module and the clients, without sockets.
+
+use super::*;
+use crate::exchange::Request;
+use futures_lite::FutureExt;
+use linnetreach::interface::{Class, Engine, EngineState, Kind};
+
+/// An engine side that notes what it is told and ends nothing by itself.
+#[derive(Default)]
+struct Notes(RefCell<Vec<String>>, Cell<bool>);
+
+impl Fence for Notes {
+    fn is_open(&self) -> bool {
+        !self.1.get()
+    }
+}
+
+impl Engines for Notes {
+    fn send(&self, a: Attempt) {
+        let id = a.exchange.request.query.id;
+        self.0.borrow_mut().push(format!("send {id}.{} to {}", a.number, a.engine));
+    }
+    fn cancel(&self, query: QueryId) -> bool {
+        self.0.borrow_mut().push(format!("cancel {query}"));
+        true
+    }
+    fn weigh(&self, query: QueryId, level: u8) {
+        self.0.borrow_mut().push(format!("weigh {query} {level}"));
+    }
+    fn cordon(&self, engine: EngineId, out: bool) {
+        self.0.borrow_mut().push(format!("cordon {engine} {out}"));
+    }
+    fn list(&self, _: ListScope, engines: &[Listed]) {
+        self.0.borrow_mut().push(format!("list {}", engines.len()));
+    }
+}
+
+fn dispatch(engines: u32) -> (Rc<Dispatch>, Rc<Notes>) {
+    let class =
+        Class { deadline: Some(60_000_000), aim: Some(60_000_000), worth: Some(1.0), ..Class::default() };
+    let settings = Settings {
+        gateways: Some(1),
+        classes: vec![class],
+        kinds: vec![Kind { cores: Some(8.0), memory_mb: None }],
+        can_cancel: true,
+        max_attempts: Some(5),
+        ..Settings::default()
+    };
+    let notes = Rc::new(Notes::default());
+    let fence: Rc<dyn Fence> = Rc::<Notes>::clone(&notes);
+    let d = Dispatch::new(Clock::start(), settings, 7, Rc::<Notes>::clone(&notes), Some(fence));
+    let engine = |id| Engine { id, zone: 0, kind: 0, cell: 0, state: EngineState::Ready, started: None };
+    let addr = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
+    let list: Vec<_> = (0..engines).map(|id| Listed { engine: engine(id), addr }).collect();
+    d.news(ListScope::Whole, &list);
+    (d, notes)
+}
+
+fn request(d: &Dispatch, id: QueryId, time_left: Micros) -> Request {
+    Request {
+        query: NewQuery { id, time_left, ..NewQuery::default() },
+        received: d.now(),
+        rid: "".into(),
+        class: "".into(),
+        token: None,
+        statement: Box::default(),
+    }
+}
+
+fn ask(d: &Dispatch, id: QueryId, time_left: Micros) -> Rc<Exchange> {
+    let exchange = Exchange::new(request(d, id, time_left));
+    assert!(d.submit(&exchange));
+    exchange
+}
+
+fn end(query: QueryId, number: u32, outcome: Outcome) -> AttemptEnd {
+    AttemptEnd { query, number, outcome, cost: None, pages: Vec::new() }
+}
+
+fn answer(exchange: &Exchange) -> Option<Answer> {
+    async_io::block_on(futures_lite::future::poll_once(exchange.answer()))
+}
+
+/// Spent ids are forgotten in their time, so that they don't pile up.
+#[test]
+fn spent_ids_are_forgotten() {
+    let mut spent = Spent::default();
+    (0..1_000).for_each(|id| spent.add(id, id * SPENT / 10));
+    assert!(spent.ids.len() < 15 && spent.by_age.len() == spent.ids.len(), "{}", spent.ids.len());
+}
+
+/// A severed attempt is tried again under the next number; a late end of the first changes nothing, and
+/// no end is told twice.
+#[test]
+fn each_attempt_ends_once() {
+    let (d, notes) = dispatch(2);
+    let exchange = ask(&d, 1, 60_000_000);
+    assert!(!d.submit(&exchange), "an id that is open is not taken again");
+    d.ended(end(1, 0, Outcome::Severed));
+    d.ended(end(1, 0, Outcome::Completed));
+    assert!(answer(&exchange).is_none());
+    d.ended(end(1, 1, Outcome::Completed));
+    d.ended(end(1, 1, Outcome::Completed));
+    assert!(matches!(answer(&exchange), Some(Answer::Served(_))));
+    assert!(answer(&exchange).is_none() && d.open.borrow().is_empty());
+    let again = Exchange::new(request(&d, 1, 60_000_000));
+    assert!(!d.submit(&again), "nor is one that was open a moment ago");
+    let sends = notes.0.borrow().iter().filter(|n| n.starts_with("send 1.")).count();
+    assert_eq!(sends, 2);
+}
+
+/// At the end of the client's time the engine is told first, then the client gets its answer, once.
+#[test]
+fn a_silent_attempt_is_cancelled_in_time() {
+    let (d, notes) = dispatch(1);
+    let exchange = ask(&d, 1, 20_000);
+    async_io::block_on(async {
+        let answered = async { Some(exchange.answer().await) };
+        let timers = async {
+            d.run_timers().await;
+            None
+        };
+        assert!(matches!(answered.or(timers).await, Some(Answer::Refused { .. })));
+    });
+    assert_eq!(notes.0.borrow().last().unwrap(), "cancel 1");
+    d.ended(end(1, 0, Outcome::Completed));
+    assert!(answer(&exchange).is_none() && d.open.borrow().is_empty() && d.timers.borrow().len() < 3);
+}
+
+/// The attempt's time ends while an answer still reaches the client: at the very end of its budget the
+/// client's own cancel request may come first, and the request is lost.
+#[test]
+fn time_is_kept_for_the_answer_to_travel() {
+    let (d, _) = dispatch(1);
+    for (id, budget, kept) in [(1, 6_000_000, 25_000), (2, 8_000, 2_000)] {
+        let exchange = ask(&d, id, budget);
+        let at = exchange.request.received + budget - kept;
+        assert!(d.timers.borrow().contains(&(at, Due::Overdue(id, 0))), "{:?}", d.timers.borrow());
+    }
+}
+
+/// Once the client has left, its attempt is taken back and no answer is made.
+#[test]
+fn a_client_that_left_gets_nothing() {
+    let (d, notes) = dispatch(1);
+    let exchange = ask(&d, 1, 60_000_000);
+    d.withdraw(1);
+    d.withdraw(1);
+    assert_eq!(notes.0.borrow().iter().filter(|n| *n == "cancel 1").count(), 1);
+    assert!(answer(&exchange).is_none() && d.open.borrow().is_empty());
+}
+
+/// While the fence is shut nothing is sent, not even again; what comes, and what waits, is told to go elsewhere at
+/// once, and what is out may still come back.
+#[test]
+fn nothing_passes_a_fence_that_is_shut() {
+    let (d, notes) = dispatch(2);
+    let (one, two) = (ask(&d, 1, 60_000_000), ask(&d, 2, 60_000_000));
+    notes.1.set(true);
+    d.ended(end(1, 0, Outcome::Severed));
+    assert!(matches!(answer(&one), Some(Answer::Stale)));
+    d.shut();
+    d.ended(end(2, 0, Outcome::Completed));
+    assert!(matches!(answer(&two), Some(Answer::Served(_))));
+    let three = ask(&d, 3, 60_000_000);
+    assert!(matches!(answer(&three), Some(Answer::Stale)));
+    let sends = notes.0.borrow().iter().filter(|n| n.starts_with("send")).count();
+    assert!(sends == 2 && d.open.borrow().is_empty() && d.turned_away() == 2);
+    notes.1.set(false);
+    let four = ask(&d, 4, 60_000_000);
+    assert!(answer(&four).is_none() && notes.0.borrow().last().unwrap().starts_with("send 4"));
+}
+
+/// A new priority reaches what is out, but only if it is new.
+#[test]
+fn terms_weigh_what_is_out() {
+    let (d, notes) = dispatch(1);
+    let _exchange = ask(&d, 1, 60_000_000);
+    for priority in [3, 3, 2] {
+        d.carry_out(Action::Terms { query: 1, memory_mb: 0.0, priority });
+    }
+    let weighs: Vec<_> = notes.0.borrow().iter().filter(|n| n.starts_with("weigh")).cloned().collect();
+    assert_eq!(weighs, ["weigh 1 3", "weigh 1 2"]);
+}
--- /dev/null
+++ b/violetgate/src/engine/conn/tests.rs
@@ -0,0 +1,114 @@
+//! One connection, without a socket behind it.
+
+use super::*;
+use crate::exchange::{Exchange, Request};
+use linnetreach::interface::NewQuery;
+
+fn attempt(id: QueryId) -> Attempt {
+    let query = NewQuery { id, time_left: 1_000_000, ..NewQuery::default() };
+    let request = Request {
+        query,
+        received: 0,
+        rid: format!("{id:016x}").into(),
+        class: "lookup".into(),
+        token: None,
+        statement: b"SELECT 1".as_slice().into(),
+    };
+    Attempt { exchange: Exchange::new(request), number: 0, engine: 3, level: Some(2), patience: 1_500 }
+}
+
+fn conn() -> Rc<Conn> {
+    Conn::new(1, 3, SocketAddr::from(([127, 0, 0, 1], 1)), 0, Rc::new(Stats::new([].into_iter())))
+}
+
+/// What waits for its connection has surely not run, and no longer may: one that left late would break
+/// the rule on drains.
+#[test]
+fn what_was_never_written_never_ran() {
+    let conn = conn();
+    (1..=3).for_each(|id| conn.serve(attempt(id), 0));
+    assert!(!conn.cancel(1, 0), "given up before it was written");
+    conn.flush().unwrap();
+    let mut ends: Vec<_> = conn.take_unwritten().into_iter().map(|e| (e.0, e.2)).collect();
+    ends.sort_unstable_by_key(|e| e.0);
+    assert_eq!(ends, [(2, Outcome::Superseded), (3, Outcome::Superseded)]);
+    conn.serve(attempt(4), 0);
+    let (ends, unsent) = conn.end("connect_refused");
+    assert!(ends.is_empty());
+    assert_eq!(unsent.iter().map(|(a, n)| (a.exchange.request.query.id, *n)).collect::<Vec<_>>(), [(4, 1)]);
+    assert!(conn.end("reset").1.is_empty(), "it ends once");
+}
+
+/// What was written goes out whole, may have run, and is given up with a word to the engine; its
+/// connection takes nothing further, so that no later attempt meets its late answer.
+#[test]
+fn what_was_written_may_have_run() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    let (mut engine, _) = listener.accept().unwrap();
+    let conn = conn();
+    conn.up(Rc::new(Async::new(stream).unwrap()));
+    conn.serve(attempt(1), 0);
+    conn.serve(attempt(2), 0);
+    conn.flush().unwrap();
+    conn.weigh(1, 3);
+    assert!(conn.cancel(1, 0));
+    conn.flush().unwrap();
+    assert!(conn.retired.get());
+    let ends: Vec<_> = conn.end("reset").0.into_iter().map(|e| (e.0, e.2)).collect();
+    assert_eq!(ends, [(2, Outcome::Severed)]);
+    let mut sent = String::new();
+    engine.read_to_string(&mut sent).unwrap();
+    let serve = |id| format!("serve {id:016x} sort=lookup,patience=2,level=2 8\r\nSELECT 1\r\n");
+    let rest = format!("weigh {:016x} 3\r\ncancel {:016x}\r\n", 1, 1);
+    assert_eq!(sent, [serve(1), serve(2), rest].concat());
+}
+
+/// Second copies and answers under unknown ids are skipped; the result is whole and once. What can't be
+/// the answer to anything still ends the connection.
+#[test]
+fn more_than_belongs_to_an_answer_is_skipped() {
+    let conn = conn();
+    let exchange = attempt(1);
+    conn.serve(exchange, 0);
+    conn.state.borrow_mut().open.get_mut(&1).unwrap().written = true;
+    let page =
+        |id: u8, word: &str, row: &str| format!("{id:016x} {word} {}\r\n{row}\r\n", row.len()).into_bytes();
+    let (zero, one) = (page(1, "ok chunks=2,spent=5", "a\tb\tc\n"), page(1, "batch at=1", "d\te\tf\n"));
+    let other = page(9, "batch at=4", "x\ty\tz\n");
+    let bytes = [&other[..], &zero, &zero, &other, &one, &one, &zero].concat();
+    let mut used = 0;
+    let (id, _, outcome, _, pages) = conn.next(&bytes, &mut used, 0).unwrap().unwrap();
+    assert_eq!((id, outcome), (1, Outcome::Completed));
+    assert_eq!(pages.concat(), b"a\tb\tc\nd\te\tf\n");
+    assert!(conn.next(&bytes, &mut used, 0).unwrap().is_none() && used == bytes.len());
+    for spoilt in [page(2, "batch at=0", ""), page(2, "ok chunks=999", ""), page(2, "ok -", "a\tb\n")] {
+        conn.serve(attempt(2), 0);
+        conn.state.borrow_mut().open.get_mut(&2).unwrap().written = true;
+        assert!(conn.next(&spoilt, &mut 0, 0).is_err());
+    }
+    assert!(!is_rows(b"a\t\xff\tc\n"), "noise is no text");
+}
+
+/// No bytes that an engine may send end in anything but an answer, a wait for more, or garbage.
+#[test]
+fn garbage_from_an_engine_is_told_apart() {
+    let ok = b"0000000000000001 ok chunks=2,spent=5,wanted=9 6\r\na\tb\tc\n\r\n";
+    for end in 0..ok.len() {
+        assert!(matches!(codec::parse(&ok[..end]), Parsed::Part), "{end}");
+    }
+    assert!(matches!(codec::parse(ok), Parsed::Whole(_, n) if n == ok.len()));
+    for bytes in [
+        &b"\r\n"[..],
+        b"0000000000000001 ok - 0\n",
+        b"0000000000000001 what - 0\r\n\r\n",
+        b"0000000000000001 ok - 99999999999999999999999\r\n",
+        b"0000000000000001 ok - 1\r\nabc",
+        b"0000000000000001 ok chunks 0\r\n\r\n",
+        b"1 ok - 0\r\n\r\n",
+        b"\xff\xff \xff\r\n",
+        &[b'x'; 2000],
+    ] {
+        assert!(matches!(codec::parse(bytes), Parsed::Garbage), "{}", bytes.escape_ascii());
+    }
+}
