Read engines' notes, pass grants, heed retry marks and tell clients how long to stay away

At fault: parse in engine/codec.rs knew no 'progress', which these engines write each second, so a connection ended with all that was out on it; Action::Terms in dispatch.rs dropped the grant; fields.rs skipped 'again'; refusals carried no backoff=MS. Change: a note is told to the module under its attempt's number (Reports::noted), one that is not known is skipped; the grant goes out as 'reserve'; again=1 marks a repeat, another value is an error; a refusal's text ends in (backoff=MS).

--- a/violetgate/src/asked.rs
+++ b/violetgate/src/asked.rs
@@ -33,6 +33,8 @@
     Memory,
     /// The key whose queries keep their order.
     Key,
+    /// The mark of a repeat.
+    Again,
     /// The statement.
     Statement,
 }
@@ -65,6 +67,8 @@
     pub memory: Option<f64>,
     /// The key whose queries keep their order.
     pub key: Option<&'a str>,
+    /// `1` marks a client's repeat of an earlier request.
+    pub again: Option<&'a str>,
     /// The statement.
     pub statement: &'a [u8],
 }
@@ -124,6 +128,9 @@
             None => None,
             Some(text) => Some(hex(text).ok_or_else(|| fault(Part::Key, "is not 16 hex digits"))?),
         };
+        if self.again.is_some_and(|mark| mark != "1") {
+            return Err(fault(Part::Again, "is not 1"));
+        }
         if says_nothing(self.statement) {
             return Err(missing(Part::Statement)());
         }
@@ -136,7 +143,7 @@
             time_left: (budget * 1e3) as Micros,
             tables: tables::group(self.statement),
             key,
-            repeat: false,
+            repeat: self.again.is_some(),
         };
         Ok(Request {
             query,
--- a/violetgate/src/client/fields.rs
+++ b/violetgate/src/client/fields.rs
@@ -36,7 +36,7 @@
             return Err(format!("field `{name}` is given twice"));
         }
     }
-    let [class, id, budget, tenant, token, work, memory, key] = found;
+    let [class, id, budget, tenant, token, work, memory, key, again] = found;
     // What is no number is none that can be believed, either.
     let number = |text: Option<&str>| text.map(|t| t.parse::<f64>().unwrap_or(f64::NAN));
     let asked = Asked {
@@ -48,12 +48,13 @@
         work: number(work),
         memory: number(memory),
         key,
+        again,
         statement,
     };
     asked.request(names, received).map_err(|Fault { part, what }| format!("field `{}` {what}", name(part)))
 }
 
-const NAMES: [(Part, &str); 8] = [
+const NAMES: [(Part, &str); 9] = [
     (Part::Class, "method"),
     (Part::Id, "rid"),
     (Part::Budget, "budget"),
@@ -62,6 +63,7 @@
     (Part::Work, "est"),
     (Part::Memory, "est_mb"),
     (Part::Key, "obj"),
+    (Part::Again, "again"),
 ];
 
 fn name(part: Part) -> &'static str {
--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -473,9 +473,14 @@
                 Ending::Served
             }
             Some(Answer::Refused { retry_after }) => {
-                let hint = format!("Try again in {} ms.", retry_after.div_ceil(1000));
-                let hint = (retry_after > 0).then_some(hint.as_str());
-                codec::error(&mut self.output, "ERROR", "53000", "too busy to serve this query", hint);
+                let ms = retry_after.div_ceil(1000);
+                let (mut what, hint) =
+                    ("too busy to serve this query".to_owned(), format!("Try again in {ms} ms."));
+                if ms > 0 {
+                    what.push_str(&format!(" (backoff={ms})"));
+                }
+                let hint = (ms > 0).then_some(hint.as_str());
+                codec::error(&mut self.output, "ERROR", "53000", &what, hint);
                 Ending::Refused
             }
             Some(Answer::Closing) => {
--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -13,7 +13,7 @@
 use async_io::Timer;
 use futures_lite::Future;
 use linnetreach::interface::{
-    Cost, Effect, Ended, EngineId, ListScope, Load, Micros, NewQuery, Outcome, QueryId,
+    Cost, Effect, Ended, EngineId, ListScope, Load, Micros, NewQuery, Outcome, Progress, QueryId,
 };
 use linnetreach::{Action, Event, Gateway, Settings};
 
@@ -45,6 +45,7 @@
     answered: bool,
     attempts: u32,
     level: Option<u8>,
+    grant_mb: u64,
     out: Option<Out>,
 }
 
@@ -231,9 +232,11 @@
 
     fn carry_out(&self, action: Action) {
         match action {
-            Action::Terms { query, priority, .. } => {
+            Action::Terms { query, memory_mb, priority } => {
                 let mut open = self.open.borrow_mut();
                 let Some(o) = open.get_mut(&query) else { return };
+                // What is no sensible figure becomes the nearest one; the grant holds from the next attempt on.
+                o.grant_mb = memory_mb.round() as u64;
                 let changed = o.level.replace(priority) != Some(priority);
                 let out = o.out.is_some();
                 drop(open);
@@ -274,7 +277,8 @@
         }
         o.out = Some(Out { number, engine, sent: now, until });
         let exchange = Rc::clone(&o.exchange);
-        let attempt = Attempt { exchange, number, engine, level: o.level, patience: until - now };
+        let (level, grant_mb) = (o.level, o.grant_mb);
+        let attempt = Attempt { exchange, number, engine, level, grant_mb, patience: until - now };
         drop(open);
         self.schedule(until, Due::Overdue(id, number));
         self.engines.send(attempt);
@@ -337,7 +341,10 @@
         let effect = self.effects.get(query.class as usize).copied().unwrap_or_default();
         let exchange = Rc::clone(exchange);
         let time_left = exchange.request.deadline().saturating_sub(self.clock.now());
-        open.insert(id, Open { exchange, effect, answered: false, attempts: 0, level: None, out: None });
+        open.insert(
+            id,
+            Open { exchange, effect, answered: false, attempts: 0, level: None, grant_mb: 0, out: None },
+        );
         drop(open);
         self.events.borrow_mut().push_back(Event::Arrived(NewQuery { time_left, ..query }));
         self.run();
@@ -362,6 +369,14 @@
 }
 
 impl Reports for Dispatch {
+    fn noted(&self, query: QueryId, number: u32, news: Progress) {
+        let out = self.open.borrow().get(&query).and_then(|o| o.out.as_ref().map(|out| out.number));
+        if out == Some(number) {
+            self.events.borrow_mut().push_back(Event::Note { query, attempt: number, progress: news });
+            self.run();
+        }
+    }
+
     fn ended(&self, end: AttemptEnd) {
         let mut open = self.open.borrow_mut();
         let Some(o) = open.get_mut(&end.query) else { return };
--- a/violetgate/src/dispatch/tests.rs
+++ b/violetgate/src/dispatch/tests.rs
@@ -18,7 +18,8 @@
 impl Engines for Notes {
     fn send(&self, a: Attempt) {
         let id = a.exchange.request.query.id;
-        self.0.borrow_mut().push(format!("send {id}.{} to {}", a.number, a.engine));
+        let grant = if a.grant_mb > 0 { format!(" with {}", a.grant_mb) } else { String::new() };
+        self.0.borrow_mut().push(format!("send {id}.{} to {}{grant}", a.number, a.engine));
     }
     fn cancel(&self, query: QueryId) -> bool {
         self.0.borrow_mut().push(format!("cancel {query}"));
@@ -36,6 +37,10 @@
 }
 
 fn dispatch(engines: u32) -> (Rc<Dispatch>, Rc<Notes>) {
+    with(engines, Settings::default())
+}
+
+fn with(engines: u32, more: Settings) -> (Rc<Dispatch>, Rc<Notes>) {
     let class =
         Class { deadline: Some(60_000_000), aim: Some(60_000_000), worth: Some(1.0), ..Class::default() };
     let settings = Settings {
@@ -44,7 +49,7 @@
         kinds: vec![Kind { cores: Some(8.0), memory_mb: None }],
         can_cancel: true,
         max_attempts: Some(5),
-        ..Settings::default()
+        ..more
     };
     let notes = Rc::new(Notes::default());
     let fence: Rc<dyn Fence> = Rc::<Notes>::clone(&notes);
@@ -182,3 +187,33 @@
     let weighs: Vec<_> = notes.0.borrow().iter().filter(|n| n.starts_with("weigh")).cloned().collect();
     assert_eq!(weighs, ["weigh 1 3", "weigh 1 2"]);
 }
+
+/// A query's grant goes with its attempts, the one that holds then; what is out keeps its own.
+#[test]
+fn a_grant_goes_with_the_attempt() {
+    let (d, notes) = with(2, Settings { grants: true, ..Settings::default() });
+    let mut wanted = request(&d, 1, 60_000_000);
+    wanted.query.memory_mb = Some(100.0);
+    let exchange = Exchange::new(wanted);
+    assert!(d.submit(&exchange));
+    let first = notes.0.borrow().last().unwrap().clone();
+    assert!(first.starts_with("send 1.0 ") && first.contains(" with 1"), "{first}");
+    d.carry_out(Action::Terms { query: 1, memory_mb: 333.4, priority: 1 });
+    d.ended(end(1, 0, Outcome::Severed));
+    let second = notes.0.borrow().last().unwrap().clone();
+    assert!(second.starts_with("send 1.1 ") && !second.contains("333"), "the module's last word: {second}");
+}
+
+/// News reaches the module while its attempt is out, and only that of the attempt that is: of a line for memory it
+/// withdraws an attempt that can go elsewhere.
+#[test]
+fn news_of_an_attempt_reaches_the_module() {
+    let (d, notes) = with(2, Settings { note_period: Some(1_000_000), ..Settings::default() });
+    let _exchange = ask(&d, 1, 60_000_000);
+    let sends = |d: &Dispatch| d.open.borrow()[&1].attempts;
+    d.noted(1, 7, Progress::WaitsForMemory);
+    d.noted(8, 0, Progress::WaitsForMemory);
+    assert!(sends(&d) == 1 && !notes.0.borrow().iter().any(|n| n == "cancel 1"));
+    d.noted(1, 0, Progress::WaitsForMemory);
+    assert!(sends(&d) == 2 && notes.0.borrow().iter().any(|n| n == "cancel 1"), "{:?}", notes.0.borrow());
+}
--- a/violetgate/src/engine/codec.rs
+++ b/violetgate/src/engine/codec.rs
@@ -1,7 +1,7 @@
 //! The line protocol: commands out, answers in. A line of words ends in CR LF; where its last word is a
 //! length, that many bytes and CR LF follow.
 
-use linnetreach::interface::{Cost, QueryId};
+use linnetreach::interface::{Cost, Progress, QueryId};
 
 /// The longest line of an answer.
 const MAX_LINE: usize = 1024;
@@ -28,6 +28,8 @@
     Error,
     /// It was over already: it never ran.
     Stale,
+    /// Not yet over.
+    Progress,
 }
 
 /// One answer.
@@ -45,6 +47,8 @@
     pub at: Option<usize>,
     /// What it cost, if told.
     pub cost: Option<Cost>,
+    /// News of one that is not yet over, if any.
+    pub note: Option<Progress>,
     /// The page.
     pub body: &'a [u8],
 }
@@ -86,10 +90,11 @@
         "refused" => Word::Refused,
         "error" => Word::Error,
         "stale" => Word::Stale,
+        "progress" => Word::Progress,
         _ => return Parsed::Garbage,
     };
-    let mut reply = Reply { id, rid, word, chunks: None, at: None, cost: None, body };
-    let (mut spent, mut wanted) = (None, None);
+    let mut reply = Reply { id, rid, word, chunks: None, at: None, cost: None, note: None, body };
+    let (mut spent, mut wanted, mut news, mut amount) = (None, None, None, None);
     for field in fields.split(',').filter(|_| fields != "-") {
         let Some((name, value)) = field.split_once('=') else { return Parsed::Garbage };
         match name {
@@ -97,13 +102,27 @@
             "at" => reply.at = number(value),
             "spent" => spent = measure(value),
             "wanted" => wanted = measure(value),
+            "n" => news = Some(value),
+            "amount" => amount = measure(value),
             _ => {}
         }
     }
     reply.cost = spent.map(|ms| Cost { work: (ms * 1e3) as u64, memory_mb: wanted.unwrap_or(0.0) });
+    reply.note = news.zip(amount).and_then(|(news, amount)| note(news, amount));
     Parsed::Whole(reply, from + length + 2)
 }
 
+/// What a note says; one of a kind that is not known says nothing.
+fn note(news: &str, amount: f64) -> Option<Progress> {
+    match news {
+        "advance" => Some(Progress::Done(amount)),
+        "disk" => Some(Progress::Spills(amount)),
+        "stall" if amount == 1.0 => Some(Progress::WaitsForMemory),
+        "stall" if amount == 2.0 => Some(Progress::WaitsForLoad),
+        _ => None,
+    }
+}
+
 fn words(line: &str) -> Option<(&str, &str, &str, &str)> {
     let mut words = line.split(' ');
     let four = (words.next()?, words.next()?, words.next()?, words.next()?);
--- a/violetgate/src/engine/conn.rs
+++ b/violetgate/src/engine/conn.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use async_io::Async;
-use linnetreach::interface::{Cost, EngineId, Micros, Outcome, QueryId};
+use linnetreach::interface::{Cost, EngineId, Micros, Outcome, Progress, QueryId};
 
 use super::codec::{self, Parsed, Reply, Word};
 use crate::exchange::{Attempt, Pages, MAX_RESULT};
@@ -53,6 +53,14 @@
 /// An attempt that this connection ended: whose, which, how, its cost and its pages.
 pub(super) type End = (QueryId, u32, Outcome, Option<Cost>, Pages);
 
+/// What an answer says of an attempt.
+pub(super) enum Said {
+    /// It has ended.
+    End(End),
+    /// News of one that is still out: whose, which, what.
+    Note(QueryId, u32, Progress),
+}
+
 /// One connection to an engine.
 pub(super) struct Conn {
     pub id: u64,
@@ -219,23 +227,23 @@
         Ok(n > 0)
     }
 
-    /// Takes the next whole answer off `buffer`: the attempt that it ends, if it ends one.
-    pub fn next(&self, buffer: &[u8], used: &mut usize, now: Micros) -> Result<Option<End>, &'static str> {
+    /// Takes the next whole answer off `buffer` that says something of an attempt.
+    pub fn next(&self, buffer: &[u8], used: &mut usize, now: Micros) -> Result<Option<Said>, &'static str> {
         loop {
             match codec::parse(buffer.get(*used..).unwrap_or_default()) {
                 Parsed::Part => return Ok(None),
                 Parsed::Garbage => return Err("garbage"),
                 Parsed::Whole(reply, size) => {
                     *used += size;
-                    if let Some(end) = self.take(&reply, now)? {
-                        return Ok(Some(end));
+                    if let Some(said) = self.take(&reply, now)? {
+                        return Ok(Some(said));
                     }
                 }
             }
         }
     }
 
-    fn take(&self, reply: &Reply<'_>, now: Micros) -> Result<Option<End>, &'static str> {
+    fn take(&self, reply: &Reply<'_>, now: Micros) -> Result<Option<Said>, &'static str> {
         let mut guard = self.state.borrow_mut();
         let s = &mut *guard;
         let Some(slot) = s.open.get_mut(&reply.id).filter(|slot| slot.written) else {
@@ -250,6 +258,11 @@
             Word::Refused => Outcome::Saturated,
             Word::Stale => Outcome::Superseded,
             Word::Error => Outcome::Errored,
+            // Once its answer has begun, there is no more news of it.
+            Word::Progress => {
+                let news = reply.note.filter(|_| slot.pages.is_empty());
+                return Ok(news.map(|n| Said::Note(reply.id, slot.attempt.number, n)));
+            }
             Word::Ok | Word::Batch => {
                 let first = reply.word == Word::Ok;
                 let at = reply.at.filter(|_| !first).unwrap_or(0);
@@ -292,7 +305,7 @@
         } else {
             Pages::new()
         };
-        Ok(Some((reply.id, slot.attempt.number, outcome, slot.cost, pages)))
+        Ok(Some(Said::End((reply.id, slot.attempt.number, outcome, slot.cost, pages))))
     }
 
     /// Ends the connection: the ends of what was written on it, which is severed, and what was not, which has
@@ -335,6 +348,9 @@
         fields.push_str(",op=");
         fields.push_str(token);
     }
+    if attempt.grant_mb > 0 {
+        fields.push_str(&format!(",reserve={}", attempt.grant_mb));
+    }
     if let Some(level) = attempt.level {
         fields.push_str(&format!(",level={level}"));
     }
--- a/violetgate/src/engine/conn/tests.rs
+++ b/violetgate/src/engine/conn/tests.rs
@@ -14,7 +14,14 @@
         token: None,
         statement: b"SELECT 1".as_slice().into(),
     };
-    Attempt { exchange: Exchange::new(request), number: 0, engine: 3, level: Some(2), patience: 1_500 }
+    Attempt {
+        exchange: Exchange::new(request),
+        number: 0,
+        engine: 3,
+        level: Some(2),
+        grant_mb: 0,
+        patience: 1_500,
+    }
 }
 
 fn conn() -> Rc<Conn> {
@@ -78,7 +85,9 @@
     let other = page(9, "batch at=4", "x\ty\tz\n");
     let bytes = [&other[..], &zero, &zero, &other, &one, &one, &zero].concat();
     let mut used = 0;
-    let (id, _, outcome, _, pages) = conn.next(&bytes, &mut used, 0).unwrap().unwrap();
+    let Some(Said::End((id, _, outcome, _, pages))) = conn.next(&bytes, &mut used, 0).unwrap() else {
+        panic!()
+    };
     assert_eq!((id, outcome), (1, Outcome::Completed));
     assert_eq!(pages.concat(), b"a\tb\tc\nd\te\tf\n");
     assert!(conn.next(&bytes, &mut used, 0).unwrap().is_none() && used == bytes.len());
@@ -112,3 +121,52 @@
         assert!(matches!(codec::parse(bytes), Parsed::Garbage), "{}", bytes.escape_ascii());
     }
 }
+
+/// News of a running attempt is passed on under its number and ends nothing; a kind that is not known, news without
+/// a figure, and news of what nobody here has running are skipped, and the connection goes on.
+#[test]
+fn news_of_an_attempt_is_no_answer() {
+    let conn = conn();
+    conn.serve(Attempt { number: 2, ..attempt(1) }, 0);
+    conn.state.borrow_mut().open.get_mut(&1).unwrap().written = true;
+    let note = |id: u8, fields: &str| format!("{id:016x} progress {fields} 0\r\n\r\n");
+    let skipped = [
+        note(1, "n=mood,amount=3"),
+        note(1, "n=disk"),
+        note(1, "-"),
+        note(1, "n=stall,amount=7"),
+        note(9, "n=disk,amount=1"),
+    ];
+    let told = [
+        note(1, "n=advance,amount=0.25"),
+        note(1, "amount=96.5,n=disk"),
+        note(1, "n=stall,amount=1"),
+        note(1, "n=stall,amount=2"),
+    ];
+    let answer = format!("{:016x} ok chunks=1 6\r\na\tb\tc\n\r\n", 1);
+    let bytes = [skipped.concat(), told.concat(), answer].concat().into_bytes();
+    let mut used = 0;
+    let mut news = Vec::new();
+    loop {
+        match conn.next(&bytes, &mut used, 0).unwrap().unwrap() {
+            Said::Note(id, number, n) => news.push((id, number, n)),
+            Said::End(end) => break assert_eq!((end.0, end.1, end.2), (1, 2, Outcome::Completed)),
+        }
+    }
+    let all =
+        [Progress::Done(0.25), Progress::Spills(96.5), Progress::WaitsForMemory, Progress::WaitsForLoad];
+    assert_eq!(news, all.map(|n| (1, 2, n)));
+    assert!(used == bytes.len() && conn.ended.get().is_none());
+}
+
+/// Memory that is granted stands in the request's fields; where none is, nothing does.
+#[test]
+fn a_grant_is_written() {
+    let fields = |grant_mb| {
+        let mut out = Vec::new();
+        encode(&mut out, &Attempt { grant_mb, ..attempt(1) });
+        String::from_utf8(out).unwrap()
+    };
+    assert!(fields(384).contains("patience=2,reserve=384,level=2 8\r\n"), "{}", fields(384));
+    assert!(!fields(0).contains("reserve"));
+}
--- a/violetgate/src/engine/pool.rs
+++ b/violetgate/src/engine/pool.rs
@@ -13,7 +13,7 @@
 use futures_lite::{future, FutureExt};
 use linnetreach::interface::{EngineId, EngineState, ListScope, Micros, Outcome, QueryId};
 
-use super::conn::{Conn, End};
+use super::conn::{Conn, End, Said};
 use crate::clock::Clock;
 use crate::config::Link;
 use crate::exchange::{Attempt, AttemptEnd, Engines, Listed, Pages, Reports};
@@ -271,7 +271,11 @@
             let mut used = 0;
             while conn.ended.get().is_none() {
                 match conn.next(&buffer, &mut used, self.clock.now()) {
-                    Ok(Some(end)) => self.report(vec![end]),
+                    Ok(Some(Said::End(end))) => self.report(vec![end]),
+                    Ok(Some(Said::Note(query, number, news))) => {
+                        let reports = self.reports.borrow().as_ref().and_then(Weak::upgrade);
+                        reports.into_iter().for_each(|r| r.noted(query, number, news));
+                    }
                     Ok(None) => break,
                     Err(reason) => return self.end(&conn, reason),
                 }
--- a/violetgate/src/engine/pool/tests.rs
+++ b/violetgate/src/engine/pool/tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::exchange::{Exchange, Request};
-use linnetreach::interface::{Engine, NewQuery};
+use linnetreach::interface::{Engine, NewQuery, Progress};
 
 #[derive(Default)]
 struct Ends(RefCell<Vec<(QueryId, Outcome)>>);
@@ -11,6 +11,7 @@
     fn ended(&self, end: AttemptEnd) {
         self.0.borrow_mut().push((end.query, end.outcome));
     }
+    fn noted(&self, _: QueryId, _: u32, _: Progress) {}
 }
 
 /// A pool with one listed engine. Its tasks are never run, so its connections stay as the test has them.
@@ -42,7 +43,7 @@
         statement: b"SELECT 1".as_slice().into(),
     };
     let exchange = Exchange::new(request);
-    pool.send(Attempt { exchange, number: 0, engine: 0, level: None, patience: 1_000_000 });
+    pool.send(Attempt { exchange, number: 0, engine: 0, level: None, grant_mb: 0, patience: 1_000_000 });
 }
 
 /// Each attempt has a connection of its own while there is room; then the least loaded is shared.
--- a/violetgate/src/exchange.rs
+++ b/violetgate/src/exchange.rs
@@ -9,7 +9,9 @@
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 
-use linnetreach::interface::{Cost, Engine, EngineId, ListScope, Micros, NewQuery, Outcome, QueryId};
+use linnetreach::interface::{
+    Cost, Engine, EngineId, ListScope, Micros, NewQuery, Outcome, Progress, QueryId,
+};
 use std::net::SocketAddr;
 
 /// One client's request: what the decisions need, and the bytes that pass on as they came.
@@ -156,6 +158,8 @@
     pub engine: EngineId,
     /// At what priority, if one was set.
     pub level: Option<u8>,
+    /// Memory granted, in MB; 0 leaves it to the engine.
+    pub grant_mb: u64,
     /// How long it may take.
     pub patience: Micros,
 }
@@ -179,6 +183,8 @@
 pub trait Reports {
     /// An attempt ended by itself.
     fn ended(&self, end: AttemptEnd);
+    /// News of an attempt that is still out: whose, which, what.
+    fn noted(&self, query: QueryId, number: u32, news: Progress);
 }
 
 /// An engine of the list, and where it listens.
--- a/violetgate/src/rest/wire.rs
+++ b/violetgate/src/rest/wire.rs
@@ -81,6 +81,7 @@
         Part::Work => "estimate_ms",
         Part::Memory => "estimate_mb",
         Part::Key => "order_key",
+        Part::Again => "again",
         Part::Statement => "statement",
     }
 }
@@ -137,6 +138,7 @@
         work: ask.estimate_ms,
         memory: ask.estimate_mb,
         key: ask.order_key.as_deref(),
+        again: None,
         statement: ask.statement.as_deref().unwrap_or_default().as_bytes(),
     };
     asked.request(names, received).map_err(|Fault { part, what }| bad(format!("`{}` {what}", name(part))))
