--- a/src/interface.rs
+++ b/src/interface.rs
@@ -342,7 +342,7 @@
         /// The query.
         query: QueryId,
     },
-    /// A probe's result.
+    /// The result of a probe that the embedding made of its own accord.
     Probed {
         /// The engine.
         engine: EngineId,
@@ -395,11 +395,6 @@
         /// The query.
         query: QueryId,
     },
-    /// Ask an engine for its load report.
-    Probe {
-        /// The engine.
-        engine: EngineId,
-    },
     /// Wake the gateway at this time.
     Wake {
         /// When.
--- a/src/state.rs
+++ b/src/state.rs
@@ -308,11 +308,9 @@
     pub out: Vec<usize>,
     pub threads_out: [f64; 4],
     pub turns: BTreeMap<u64, Turn>,
-    /// Queries taken, and how many had been at the last probes; the next wake-up and probes.
+    /// Queries taken; the next wake-up.
     pub seq: u64,
-    pub probed_seq: u64,
     pub wake: Option<Micros>,
-    pub probe_at: Micros,
     /// When queries were taken, and when further attempts of them left.
     pub taken: VecDeque<Micros>,
     pub extra: VecDeque<Micros>,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -244,10 +244,6 @@
         gateway: u32,
         rid: String,
     },
-    Test {
-        gateway: u32,
-        node: String,
-    },
     Timer {
         gateway: u32,
         moment: f64,
@@ -403,7 +399,6 @@
                 Answer::Shed { gateway, rid: rid(query), stay_away: seconds(retry_after) }
             }
             Action::Fail { query } => Answer::RespondError { gateway, rid: rid(query) },
-            Action::Probe { engine } => Answer::Test { gateway, node: node(engine) },
             Action::Wake { at } => Answer::Timer { gateway, moment: seconds(at), nonce: "wake" },
             Action::Follow => Answer::Follow { gateway, active: true },
         }
--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -249,8 +249,8 @@
             Action::Refuse { query, retry_after } => self.settle(query, Answer::Refused { retry_after }),
             Action::Fail { query } => self.settle(query, Answer::Failed),
             Action::Wake { at } => self.schedule(at, Due::Wake),
-            // The engine protocol has no load report to ask for, and the event bus is always followed.
-            Action::Probe { .. } | Action::Follow => {}
+            // The event bus is always followed.
+            Action::Follow => {}
         }
     }
 
