--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks. `make run` needs PROXY_CONFIG, see README.md.
-.PHONY: build test lint run ci prove-rest prove-daemon prove-run
+.PHONY: build test lint run ci prove-rest prove-daemon prove-run prove-membership
 
 # Proofs measure for a while and hold the program to bounds; arguments by ARGS="--requests 100000".
 ARGS ?=
@@ -17,6 +17,11 @@
 	cargo build --locked --release --workspace
 	target/release/prove-daemon $(ARGS)
 
+# ARGS="--seeds 1000" is the long form, "--full" measures traffic at 1,000 members.
+prove-membership:
+	cargo build --locked --release -p violetgate-fleet-world
+	target/release/prove-membership $(ARGS)
+
 build:
 	cargo build --release
 
--- /dev/null
+++ b/fleet/membership/src/handling.rs
@@ -0,0 +1,231 @@
+//! What is heard: messages, the claims that they bring, and what this member says of itself. And the rounds in which
+//! news, whole views and knocks at the dead go out.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use rand_chacha::rand_core::RngCore;
+
+use crate::claim::{Claim, Name, State};
+use crate::membership::{Action, Membership, Peer};
+use crate::message::{Body, Message, Unfit, MOST_CLAIMS};
+use crate::Micros;
+
+/// The most accusers that are kept of one suspicion.
+const MOST_ACCUSERS: usize = 8;
+
+impl Membership {
+    /// Takes a message that came from an address.
+    ///
+    /// # Errors
+    ///
+    /// It can't be heeded, and nothing has changed.
+    pub fn hear(
+        &mut self,
+        now: Micros,
+        from: SocketAddr,
+        message: &Message,
+        actions: &mut Vec<Action>,
+    ) -> Result<(), Unfit> {
+        let sender = message.sender()?;
+        self.now = now.max(self.now);
+        if self.superseded || self.own.state == State::Left {
+            return Ok(());
+        }
+        let name = Name::clone(&sender.name);
+        for claim in &message.claims {
+            self.merge(claim.clone(), actions);
+        }
+        if name == self.own.name {
+            return Ok(());
+        }
+        // A message of an older life proves nothing of this one.
+        let Some(p) = self.peers.get_mut(&name).filter(|p| p.claim.life == sender.life) else {
+            return Ok(());
+        };
+        if p.on_rings() {
+            p.heard = self.now;
+            self.woken.iter_mut().for_each(|(_, heard)| _ = heard.insert(Name::clone(&name)));
+        } else if !matches!(message.body, Body::Ack(_) | Body::Tell) {
+            // It does not know that it is taken for dead, and has to, to refute.
+            let told = Some(p.claim.clone());
+            let message = self.message(Body::Tell, told);
+            actions.push(Action::Send(from, message));
+        }
+        match &message.body {
+            Body::Ping(seq) => {
+                let doubted = self.peers.get(&name).filter(|p| p.claim.state != State::Alive);
+                let told = doubted.map(|p| p.claim.clone());
+                let message = self.message(Body::Ack(*seq), told);
+                actions.push(Action::Send(from, message));
+            }
+            Body::Ack(seq) => self.answered(*seq, actions),
+            Body::PingFor(seq, target, at) => self.help(from, *seq, Name::clone(target), *at, actions),
+            Body::AckFor(seq, _) => self.answered_others(*seq),
+            Body::Compare(theirs) if *theirs != self.digest() => self.tell_all(from, actions),
+            Body::Compare(_) | Body::Tell => {}
+        }
+        Ok(())
+    }
+
+    /// This member goes, of its own will: the others are told at once.
+    pub fn leave(&mut self, actions: &mut Vec<Action>) {
+        self.own.state = State::Left;
+        for addr in self.some(3 * self.manner.fanout, &self.own.name.clone()) {
+            let message = Message { body: Body::Tell, claims: vec![self.own.clone()] };
+            actions.push(Action::Send(addr, message));
+        }
+    }
+
+    /// Takes a claim. The same claims give the same view in any order.
+    pub(crate) fn merge(&mut self, claim: Claim, actions: &mut Vec<Action>) {
+        if claim.name == self.own.name {
+            return self.heard_of_self(&claim, actions);
+        }
+        let now = self.now;
+        let old = self.peers.get(&claim.name);
+        if old.is_none() && self.peers.len() >= self.manner.most {
+            actions.push(Action::Full(Name::clone(&claim.name)));
+            return;
+        }
+        let same = old.is_some_and(|p| p.claim.rank() == claim.rank());
+        if same {
+            // Another that has no answer either.
+            let Some(p) = self.peers.get_mut(&claim.name) else { return };
+            let room = p.accusers.len() < MOST_ACCUSERS;
+            if room && claim.by.clone().is_some_and(|by| p.accusers.insert(by)) {
+                self.spread.push(claim);
+            }
+            return;
+        }
+        if old.is_some_and(|p| p.claim.rank() > claim.rank()) {
+            return;
+        }
+        let name = Name::clone(&claim.name);
+        let same_life = |p: &&Peer| p.claim.life == claim.life;
+        let back = |p: &Peer| p.claim.state == State::Dead && claim.state == State::Alive;
+        let revived = old.filter(same_life).map_or(0, |p| p.revived + u32::from(back(p)));
+        let changed = old.is_none_or(|p| p.claim.state != claim.state);
+        let next_ping =
+            old.map_or_else(|| now + self.rng.next_u64() % self.manner.probe_every, |p| p.next_ping);
+        let peer = Peer {
+            since: old.filter(|_| !changed).map_or(now, |p| p.since),
+            accusers: claim.by.iter().cloned().collect(),
+            heard: old.map_or(now, |p| p.heard),
+            cut: old.filter(same_life).and_then(|p| p.cut),
+            next_ping: if claim.state == State::Suspect {
+                next_ping.min(now + self.manner.reply)
+            } else {
+                next_ping
+            },
+            revived,
+            claim: claim.clone(),
+        };
+        let (was, is) = (old.is_some_and(Peer::on_rings), peer.on_rings());
+        self.peers.insert(Name::clone(&name), peer);
+        if was != is {
+            if is {
+                self.rings.add(&name);
+            } else {
+                self.rings.remove(&name);
+            }
+            self.watched = None;
+        }
+        if changed {
+            actions.push(Action::Changed(Name::clone(&name), claim.state));
+        }
+        self.spread.push(claim);
+    }
+
+    /// What others say of this member: a newer life of its name ends it; a suspicion or a death is refuted.
+    fn heard_of_self(&mut self, claim: &Claim, actions: &mut Vec<Action>) {
+        if claim.life > self.own.life {
+            if !std::mem::replace(&mut self.superseded, true) {
+                actions.push(Action::Superseded);
+            }
+        } else if claim.life < self.own.life {
+            self.spread.push(self.own.clone());
+        } else if claim.turn >= self.own.turn && claim.state != State::Alive {
+            self.own.turn = claim.turn.saturating_add(1);
+            self.strain = (self.strain + 1).min(8);
+            self.spread.push(self.own.clone());
+        }
+    }
+
+    /// Some members on the rings, at random, without one.
+    pub(crate) fn some(&mut self, count: usize, without: &Name) -> Vec<SocketAddr> {
+        let fit = self.peers.values().filter(|p| p.on_rings() && p.claim.name != *without);
+        let mut fit: Vec<SocketAddr> = fit.map(|p| p.claim.addr).collect();
+        let mut some = Vec::new();
+        while some.len() < count && !fit.is_empty() {
+            let at = (self.rng.next_u64() % fit.len() as u64) as usize;
+            some.push(fit.swap_remove(at));
+        }
+        some
+    }
+
+    /// News goes out at once, in rounds, until it has been told often enough.
+    pub(crate) fn tell(&mut self, actions: &mut Vec<Action>) {
+        if self.spread.is_empty() || self.now < self.next_spread {
+            return;
+        }
+        self.next_spread = self.now + self.manner.spread_every;
+        for addr in self.some(self.manner.fanout, &self.own.name.clone()) {
+            if !self.spread.is_empty() {
+                let message = self.message(Body::Tell, None);
+                actions.push(Action::Send(addr, message));
+            }
+        }
+    }
+
+    /// Now and then two compare their whole views: what news has missed comes that way.
+    pub(crate) fn compare(&mut self, actions: &mut Vec<Action>) {
+        if self.now < self.next_exchange {
+            return;
+        }
+        self.next_exchange =
+            self.now + self.manner.exchange_every / 2 + self.rng.next_u64() % self.manner.exchange_every;
+        let digest = self.digest();
+        for addr in self.some(1, &self.own.name.clone()) {
+            let message = self.message(Body::Compare(digest), None);
+            actions.push(Action::Send(addr, message));
+        }
+    }
+
+    /// The whole view, in as many messages as it takes.
+    fn tell_all(&mut self, to: SocketAddr, actions: &mut Vec<Action>) {
+        let all: Vec<Claim> = self.peers.values().map(|p| p.claim.clone()).collect();
+        for part in all.chunks(MOST_CLAIMS - 1) {
+            let claims = std::iter::once(self.own.clone()).chain(part.iter().cloned()).collect();
+            actions.push(Action::Send(to, Message { body: Body::Tell, claims }));
+        }
+    }
+
+    /// One of the dead is asked now and then whether it is: a split heals that way. So is a seed, while nobody is
+    /// known.
+    pub(crate) fn knock(&mut self, actions: &mut Vec<Action>) {
+        if self.now < self.next_knock {
+            return;
+        }
+        self.next_knock = self.now + self.manner.probe_every;
+        let known: BTreeSet<SocketAddr> = self.peers.values().map(|p| p.claim.addr).collect();
+        let dead = self.peers.values().filter(|p| p.claim.state == State::Dead).map(|p| p.claim.addr);
+        let unknown = self.seeds.iter().copied().filter(|s| !known.contains(s));
+        let mut doors: Vec<SocketAddr> = dead.chain(unknown).collect();
+        for _ in 0..2.min(doors.len()) {
+            let at = (self.rng.next_u64() % doors.len() as u64) as usize;
+            let addr = doors.swap_remove(at);
+            let told =
+                self.peers.values().find(|p| p.claim.addr == addr && !p.on_rings()).map(|p| p.claim.clone());
+            let digest = self.digest();
+            let message = self.message(Body::Compare(digest), told);
+            actions.push(Action::Send(addr, message));
+        }
+    }
+
+    /// Those long gone are forgotten.
+    pub(crate) fn forget(&mut self) {
+        let (now, span) = (self.now, self.manner.forget);
+        self.peers.retain(|_, p| p.on_rings() || now < p.since + span);
+    }
+}
