Split the operators' settings: types and tests in files of their own

Change: the blocks' types are in settings/types.rs, the tests in settings/tests.rs, moved as they are. Measured: no behaviour changed; the tests of settings pass as before.

--- a/violetgate/src/settings/mod.rs
+++ b/violetgate/src/settings/mod.rs
@@ -4,19 +4,20 @@
 //! and key. What the platform tells a front end is not here, but in `config.rs`.
 
 pub mod schema;
+mod types;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
 
 use hcl_edit::expr::{Expression, ObjectKey};
 use hcl_edit::structure::{Body, Structure};
 use hcl_edit::Span as Place;
-use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::log::Format;
+pub use types::{Cluster, Log, Rest, Size, Span};
+
 use schema::{Block, Key, Kind, BLOCKS};
 
 /// All settings.
@@ -31,154 +32,6 @@
     pub cluster: Option<Cluster>,
 }
 
-/// The log.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct Log {
-    /// How lines are written.
-    pub format: Format,
-    /// Lines that may wait to be written.
-    pub lines_waiting: usize,
-}
-
-impl Default for Log {
-    fn default() -> Self {
-        Log { format: Format::Text, lines_waiting: 4096 }
-    }
-}
-
-/// A span of time, written as `"250ms"` or `"2s"`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Span(pub Duration);
-
-/// A number of bytes, written as `"64KiB"`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Size(pub u64);
-
-impl<'de> Deserialize<'de> for Span {
-    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(from)?;
-        schema::span(&text).map(Span).ok_or_else(|| serde::de::Error::custom("no span"))
-    }
-}
-
-impl Serialize for Span {
-    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_str(&format!("{}ms", self.0.as_millis()))
-    }
-}
-
-impl<'de> Deserialize<'de> for Size {
-    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(from)?;
-        schema::bytes(&text).map(Size).ok_or_else(|| serde::de::Error::custom("no size"))
-    }
-}
-
-impl Serialize for Size {
-    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
-        to.serialize_str(&format!("{}B", self.0))
-    }
-}
-
-/// The REST front; `docs/configuration.md` explains its keys.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-#[allow(missing_docs)]
-pub struct Rest {
-    pub listen: std::net::SocketAddr,
-    pub max_connections: usize,
-    pub max_head: Size,
-    pub max_body: Size,
-    pub head_timeout: Span,
-    pub body_timeout: Span,
-    pub idle_timeout: Span,
-    pub write_timeout: Span,
-    pub results_bytes: Size,
-    pub results: usize,
-    pub idempotency_keys: usize,
-}
-
-impl Default for Rest {
-    fn default() -> Self {
-        Rest {
-            listen: ([127, 0, 0, 1], 1).into(),
-            max_connections: 64,
-            max_head: Size(16 << 10),
-            max_body: Size(96 << 10),
-            head_timeout: Span(Duration::from_secs(2)),
-            body_timeout: Span(Duration::from_secs(3)),
-            idle_timeout: Span(Duration::from_secs(60)),
-            write_timeout: Span(Duration::from_secs(10)),
-            results_bytes: Size(16 << 20),
-            results: 10_000,
-            idempotency_keys: 10_000,
-        }
-    }
-}
-
-/// A member of a cluster; `docs/configuration.md` explains its keys.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default, deny_unknown_fields)]
-#[allow(missing_docs)]
-pub struct Cluster {
-    pub name: String,
-    pub id: u64,
-    pub folder: std::path::PathBuf,
-    pub listen: SocketAddr,
-    pub api: SocketAddr,
-    pub members: BTreeMap<String, SocketAddr>,
-    pub drain_limit: Span,
-    pub confirm_every: Span,
-    pub election_timeout: Span,
-    pub heartbeat: Span,
-    pub snapshot_every: u64,
-}
-
-impl Default for Cluster {
-    fn default() -> Self {
-        let nowhere: SocketAddr = ([127, 0, 0, 1], 1).into();
-        Cluster {
-            name: "x".to_owned(),
-            id: 1,
-            folder: "x".into(),
-            listen: nowhere,
-            api: nowhere,
-            members: BTreeMap::from([("1".to_owned(), nowhere)]),
-            drain_limit: Span(Duration::from_secs(2)),
-            confirm_every: Span(Duration::from_millis(250)),
-            election_timeout: Span(Duration::from_millis(500)),
-            heartbeat: Span(Duration::from_millis(100)),
-            snapshot_every: 10_000,
-        }
-    }
-}
-
-impl Cluster {
-    /// The members by number; the tables let nothing else pass.
-    #[must_use]
-    pub fn addresses(&self) -> BTreeMap<u64, SocketAddr> {
-        self.members.iter().filter_map(|(id, addr)| Some((id.parse().ok()?, *addr))).collect()
-    }
-
-    /// What is wrong with keys that are right one by one.
-    fn check(&self) -> Result<(), (&'static str, &'static str)> {
-        if !self.addresses().contains_key(&self.id) {
-            return Err(("members", "has to name this member, too"));
-        }
-        if self.confirm_every.0 * 3 > self.drain_limit.0 {
-            return Err(("confirm_every", "has to be a third of `drain_limit` at most"));
-        }
-        if self.heartbeat.0 * 3 > self.election_timeout.0 {
-            return Err(("heartbeat", "has to be a third of `election_timeout` at most"));
-        }
-        if self.listen == self.api {
-            return Err(("api", "is where members connect"));
-        }
-        Ok(())
-    }
-}
-
 /// Settings that members agree on: some of the keys that are taken while the program runs. They come before what an
 /// instance's own file says.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -412,113 +265,4 @@
 
 #[cfg(test)]
 #[allow(clippy::unwrap_used)]
-mod tests {
-    use super::*;
-
-    /// Every error of a file is told at once, each with its line, its key and the nearest known name.
-    #[test]
-    fn all_errors_are_told_at_once() {
-        let text =
-            "lgo {\n}\nlog {\n  format = \"xml\"\n  lines_wating = 5\n  lines_waiting = 1.5\n}\nx = 1\n";
-        let told: Vec<_> = parse(text).unwrap_err().iter().map(ToString::to_string).collect();
-        let expected = [
-            "1: lgo: no such block; did you mean `log`?",
-            "4: log.format: has to be \"text\" or \"json\"",
-            "5: log.lines_wating: no such key; did you mean `lines_waiting`?",
-            "6: log.lines_waiting: has to be a whole number from 16 to 1000000",
-            "8: x: no such block",
-        ];
-        assert_eq!(told, expected);
-        assert_eq!(parse("log {").unwrap_err().len(), 1);
-    }
-
-    /// What is wrong only together is told with its line, too; and what can't be agreed on is not.
-    #[test]
-    fn a_cluster_is_checked_as_a_whole() {
-        let file = |extra: &str| {
-            format!(
-                "cluster {{\n name = \"w\"\n id = 2\n folder = \"f\"\n listen = \"127.0.0.1:1\"\n \
-                 api = \"127.0.0.1:2\"\n members = {{ \"2\" = \"127.0.0.1:1\" }}\n{extra}\n}}\n"
-            )
-        };
-        assert_eq!(parse(&file("")).unwrap().cluster.unwrap().addresses().len(), 1);
-        for (extra, told) in [
-            (
-                "heartbeat = \"300ms\"",
-                "8: cluster.heartbeat: has to be a third of `election_timeout` at most",
-            ),
-            (
-                "drain_limit = \"3s\"",
-                "8: cluster.drain_limit: has to be a span in quotes from \"300ms\" to \"2s\"",
-            ),
-            (
-                "drain_limit = \"500ms\"",
-                "1: cluster.confirm_every: has to be a third of `drain_limit` at most",
-            ),
-        ] {
-            assert_eq!(parse(&file(extra)).unwrap_err().first().unwrap().to_string(), told);
-        }
-        let members = file("").replace("\"2\" =", "two =");
-        assert!(parse(&members).unwrap_err().first().unwrap().text.starts_with("has to be members by id"));
-        let own = Settings { rest: Some(Rest::default()), ..Settings::default() };
-        let agreed = Agreed::parse("rest {\n results = 5\n}\n").unwrap();
-        assert_eq!(agreed.over(&own).rest.unwrap().results, 5);
-        assert_eq!(agreed.over(&Settings::default()).rest, None);
-        let wrong = Agreed::parse("rest {\n results = 0\n listen = \"127.0.0.1:1\"\n}\n").unwrap_err();
-        assert_eq!(wrong.iter().map(|p| p.line).collect::<Vec<_>>(), [2, 3]);
-    }
-
-    /// The tables, the types and their defaults are one.
-    #[test]
-    fn tables_and_types_agree() {
-        let mut file = String::new();
-        for block in BLOCKS {
-            file += &format!("{} {{\n", block.name);
-            for key in block.keys {
-                let default = key.default.unwrap_or(match key.kind {
-                    Kind::Address => "\"127.0.0.1:1\"",
-                    Kind::Count(..) => "1",
-                    Kind::Members => "{ \"1\" = \"127.0.0.1:1\" }",
-                    _ => "\"x\"",
-                });
-                // Two listeners of one instance can't be at one place.
-                let default = if key.name == "api" { "\"127.0.0.1:2\"" } else { default };
-                file += &format!("  {} = {default}\n", key.name);
-            }
-            file += "}\n";
-        }
-        let given = serde_json::to_value(parse(&file).unwrap()).unwrap();
-        for (name, block) in given.as_object().unwrap() {
-            let table = BLOCKS.iter().find(|b| b.name == name).unwrap();
-            let keys: Vec<_> = block.as_object().unwrap().keys().map(String::as_str).collect();
-            let mut known: Vec<_> = table.keys.iter().map(|k| k.name).collect();
-            known.sort_unstable();
-            assert_eq!(keys, known, "{name}");
-        }
-        let all = Settings {
-            rest: Some(Rest::default()),
-            cluster: Some(Cluster { api: ([127, 0, 0, 1], 2).into(), ..Cluster::default() }),
-            ..Settings::default()
-        };
-        let none = serde_json::to_value(all).unwrap();
-        for (name, block) in none.as_object().unwrap().iter().filter(|(_, b)| !b.is_null()) {
-            assert_eq!(given.get(name), Some(block), "{name}");
-        }
-    }
-
-    /// The page for operators is what the tables say, and the sample file can be used.
-    #[test]
-    fn the_page_and_the_sample_are_current() {
-        let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
-        let page = std::fs::read_to_string(root.join("docs/configuration.md")).unwrap();
-        assert!(page.contains(&reference()), "write the output of `violetgate reference` into the page");
-        let sample = std::fs::read_to_string(root.join("deploy/violetgate.hcl")).unwrap();
-        parse(&sample).unwrap();
-        for block in BLOCKS {
-            assert!(sample.contains(&format!("\n{} {{", block.name)), "{}", block.name);
-            for key in block.keys {
-                assert!(sample.contains(&format!("  {} = ", key.name)), "{}.{}", block.name, key.name);
-            }
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/violetgate/src/settings/tests.rs
@@ -0,0 +1,103 @@
+//! The tables, the types, the page and the sample file are one, and every error is told with its place.
+
+use super::*;
+
+/// Every error of a file is told at once, each with its line, its key and the nearest known name.
+#[test]
+fn all_errors_are_told_at_once() {
+    let text = "lgo {\n}\nlog {\n  format = \"xml\"\n  lines_wating = 5\n  lines_waiting = 1.5\n}\nx = 1\n";
+    let told: Vec<_> = parse(text).unwrap_err().iter().map(ToString::to_string).collect();
+    let expected = [
+        "1: lgo: no such block; did you mean `log`?",
+        "4: log.format: has to be \"text\" or \"json\"",
+        "5: log.lines_wating: no such key; did you mean `lines_waiting`?",
+        "6: log.lines_waiting: has to be a whole number from 16 to 1000000",
+        "8: x: no such block",
+    ];
+    assert_eq!(told, expected);
+    assert_eq!(parse("log {").unwrap_err().len(), 1);
+}
+
+/// What is wrong only together is told with its line, too; and what can't be agreed on is not.
+#[test]
+fn a_cluster_is_checked_as_a_whole() {
+    let file = |extra: &str| {
+        format!(
+            "cluster {{\n name = \"w\"\n id = 2\n folder = \"f\"\n listen = \"127.0.0.1:1\"\n \
+             api = \"127.0.0.1:2\"\n members = {{ \"2\" = \"127.0.0.1:1\" }}\n{extra}\n}}\n"
+        )
+    };
+    assert_eq!(parse(&file("")).unwrap().cluster.unwrap().addresses().len(), 1);
+    for (extra, told) in [
+        ("heartbeat = \"300ms\"", "8: cluster.heartbeat: has to be a third of `election_timeout` at most"),
+        (
+            "drain_limit = \"3s\"",
+            "8: cluster.drain_limit: has to be a span in quotes from \"300ms\" to \"2s\"",
+        ),
+        ("drain_limit = \"500ms\"", "1: cluster.confirm_every: has to be a third of `drain_limit` at most"),
+    ] {
+        assert_eq!(parse(&file(extra)).unwrap_err().first().unwrap().to_string(), told);
+    }
+    let members = file("").replace("\"2\" =", "two =");
+    assert!(parse(&members).unwrap_err().first().unwrap().text.starts_with("has to be members by id"));
+    let own = Settings { rest: Some(Rest::default()), ..Settings::default() };
+    let agreed = Agreed::parse("rest {\n results = 5\n}\n").unwrap();
+    assert_eq!(agreed.over(&own).rest.unwrap().results, 5);
+    assert_eq!(agreed.over(&Settings::default()).rest, None);
+    let wrong = Agreed::parse("rest {\n results = 0\n listen = \"127.0.0.1:1\"\n}\n").unwrap_err();
+    assert_eq!(wrong.iter().map(|p| p.line).collect::<Vec<_>>(), [2, 3]);
+}
+
+/// The tables, the types and their defaults are one.
+#[test]
+fn tables_and_types_agree() {
+    let mut file = String::new();
+    for block in BLOCKS {
+        file += &format!("{} {{\n", block.name);
+        for key in block.keys {
+            let default = key.default.unwrap_or(match key.kind {
+                Kind::Address => "\"127.0.0.1:1\"",
+                Kind::Count(..) => "1",
+                Kind::Members => "{ \"1\" = \"127.0.0.1:1\" }",
+                _ => "\"x\"",
+            });
+            // Two listeners of one instance can't be at one place.
+            let default = if key.name == "api" { "\"127.0.0.1:2\"" } else { default };
+            file += &format!("  {} = {default}\n", key.name);
+        }
+        file += "}\n";
+    }
+    let given = serde_json::to_value(parse(&file).unwrap()).unwrap();
+    for (name, block) in given.as_object().unwrap() {
+        let table = BLOCKS.iter().find(|b| b.name == name).unwrap();
+        let keys: Vec<_> = block.as_object().unwrap().keys().map(String::as_str).collect();
+        let mut known: Vec<_> = table.keys.iter().map(|k| k.name).collect();
+        known.sort_unstable();
+        assert_eq!(keys, known, "{name}");
+    }
+    let all = Settings {
+        rest: Some(Rest::default()),
+        cluster: Some(Cluster { api: ([127, 0, 0, 1], 2).into(), ..Cluster::default() }),
+        ..Settings::default()
+    };
+    let none = serde_json::to_value(all).unwrap();
+    for (name, block) in none.as_object().unwrap().iter().filter(|(_, b)| !b.is_null()) {
+        assert_eq!(given.get(name), Some(block), "{name}");
+    }
+}
+
+/// The page for operators is what the tables say, and the sample file can be used.
+#[test]
+fn the_page_and_the_sample_are_current() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let page = std::fs::read_to_string(root.join("docs/configuration.md")).unwrap();
+    assert!(page.contains(&reference()), "write the output of `violetgate reference` into the page");
+    let sample = std::fs::read_to_string(root.join("deploy/violetgate.hcl")).unwrap();
+    parse(&sample).unwrap();
+    for block in BLOCKS {
+        assert!(sample.contains(&format!("\n{} {{", block.name)), "{}", block.name);
+        for key in block.keys {
+            assert!(sample.contains(&format!("  {} = ", key.name)), "{}.{}", block.name, key.name);
+        }
+    }
+}
--- /dev/null
+++ b/violetgate/src/settings/types.rs
@@ -0,0 +1,159 @@
+//! What a settings file holds once it has passed the tables of [`super::schema`]: a type for each block, with the same
+//! defaults. Nothing here reads a file.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+
+use super::schema;
+use crate::log::Format;
+
+/// The log.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Log {
+    /// How lines are written.
+    pub format: Format,
+    /// Lines that may wait to be written.
+    pub lines_waiting: usize,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Log { format: Format::Text, lines_waiting: 4096 }
+    }
+}
+
+/// A span of time, written as `"250ms"` or `"2s"`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Span(pub Duration);
+
+/// A number of bytes, written as `"64KiB"`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Size(pub u64);
+
+impl<'de> Deserialize<'de> for Span {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        schema::span(&text).map(Span).ok_or_else(|| serde::de::Error::custom("no span"))
+    }
+}
+
+impl Serialize for Span {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&format!("{}ms", self.0.as_millis()))
+    }
+}
+
+impl<'de> Deserialize<'de> for Size {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        schema::bytes(&text).map(Size).ok_or_else(|| serde::de::Error::custom("no size"))
+    }
+}
+
+impl Serialize for Size {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.serialize_str(&format!("{}B", self.0))
+    }
+}
+
+/// The REST front; `docs/configuration.md` explains its keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Rest {
+    pub listen: std::net::SocketAddr,
+    pub max_connections: usize,
+    pub max_head: Size,
+    pub max_body: Size,
+    pub head_timeout: Span,
+    pub body_timeout: Span,
+    pub idle_timeout: Span,
+    pub write_timeout: Span,
+    pub results_bytes: Size,
+    pub results: usize,
+    pub idempotency_keys: usize,
+}
+
+impl Default for Rest {
+    fn default() -> Self {
+        Rest {
+            listen: ([127, 0, 0, 1], 1).into(),
+            max_connections: 64,
+            max_head: Size(16 << 10),
+            max_body: Size(96 << 10),
+            head_timeout: Span(Duration::from_secs(2)),
+            body_timeout: Span(Duration::from_secs(3)),
+            idle_timeout: Span(Duration::from_secs(60)),
+            write_timeout: Span(Duration::from_secs(10)),
+            results_bytes: Size(16 << 20),
+            results: 10_000,
+            idempotency_keys: 10_000,
+        }
+    }
+}
+
+/// A member of a cluster; `docs/configuration.md` explains its keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Cluster {
+    pub name: String,
+    pub id: u64,
+    pub folder: std::path::PathBuf,
+    pub listen: SocketAddr,
+    pub api: SocketAddr,
+    pub members: BTreeMap<String, SocketAddr>,
+    pub drain_limit: Span,
+    pub confirm_every: Span,
+    pub election_timeout: Span,
+    pub heartbeat: Span,
+    pub snapshot_every: u64,
+}
+
+impl Default for Cluster {
+    fn default() -> Self {
+        let nowhere: SocketAddr = ([127, 0, 0, 1], 1).into();
+        Cluster {
+            name: "x".to_owned(),
+            id: 1,
+            folder: "x".into(),
+            listen: nowhere,
+            api: nowhere,
+            members: BTreeMap::from([("1".to_owned(), nowhere)]),
+            drain_limit: Span(Duration::from_secs(2)),
+            confirm_every: Span(Duration::from_millis(250)),
+            election_timeout: Span(Duration::from_millis(500)),
+            heartbeat: Span(Duration::from_millis(100)),
+            snapshot_every: 10_000,
+        }
+    }
+}
+
+impl Cluster {
+    /// The members by number; the tables let nothing else pass.
+    #[must_use]
+    pub fn addresses(&self) -> BTreeMap<u64, SocketAddr> {
+        self.members.iter().filter_map(|(id, addr)| Some((id.parse().ok()?, *addr))).collect()
+    }
+
+    /// What is wrong with keys that are right one by one.
+    pub(super) fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        if !self.addresses().contains_key(&self.id) {
+            return Err(("members", "has to name this member, too"));
+        }
+        if self.confirm_every.0 * 3 > self.drain_limit.0 {
+            return Err(("confirm_every", "has to be a third of `drain_limit` at most"));
+        }
+        if self.heartbeat.0 * 3 > self.election_timeout.0 {
+            return Err(("heartbeat", "has to be a third of `election_timeout` at most"));
+        }
+        if self.listen == self.api {
+            return Err(("api", "is where members connect"));
+        }
+        Ok(())
+    }
+}
