Let the number of gateways that share the engines change while the module runs

Need: a front end's part of every engine is a number of its start, true only until another dies or comes. Change: Event::Fleet tells a new count; bounds and the share of memory that were learnt scale with the part, and what is reckoned from the count (base bounds, cold engines' budgets, homes) follows at once.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -161,6 +161,7 @@
                         self.failure(*engine, FAIL_GAIN);
                     }
                 }
+                Event::Fleet { gateways } => self.share(*gateways),
                 Event::Woke => {}
             }
         }
@@ -175,9 +176,8 @@
     fn ask_wake(&mut self, actions: &mut Vec<Action>) {
         // Room can also open by itself: a rest ends, a line empties, a cold engine bears more.
         let held = self.book.queues.iter().any(|q| !q.is_empty());
-        let soon = held.then(|| self.now + self.periods(LOOK_EVERY));
-        let due = self.book.due.first().map(|d| d.0);
-        let at = [due, soon].into_iter().flatten().min().map_or(Micros::MAX, |t| t.max(self.now + 1));
+        let soon = if held { self.now + self.periods(LOOK_EVERY) } else { Micros::MAX };
+        let at = self.book.due.first().map_or(soon, |due| due.0.min(soon)).max(self.now + 1);
         if at < self.book.wake.filter(|w| *w > self.now).unwrap_or(Micros::MAX) {
             self.book.wake = Some(at);
             actions.push(Action::Wake { at });
--- a/src/rules/fleet.rs
+++ b/src/rules/fleet.rs
@@ -7,6 +7,16 @@
         THREADS_PER_CORE * cores / self.gateways
     }
 
+    /// More or fewer share the engines: this gateway's part of each follows, and what it has learnt to use there.
+    pub(super) fn share(&mut self, gateways: u32) {
+        let ratio = self.gateways / f64::from(gateways.max(1));
+        self.gateways /= ratio;
+        for n in self.nodes.values_mut() {
+            n.bound = (n.bound * ratio).min(THREADS_PER_CORE * n.cores);
+            n.memory_share = (n.memory_share * ratio).min(1.0);
+        }
+    }
+
     /// The part of its capacity that an engine has surely reached: from the cold share up to all of it,
     /// slowly at first, since how it grows is not told.
     pub(super) fn warmth(&self, n: &Node) -> f64 {
--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -4,7 +4,7 @@
 //! attempt, one end for each, one answer for each request, and one queue of timers.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -21,9 +21,9 @@
 use crate::exchange::{Answer, Attempt, AttemptEnd, Engines, Exchange, Intake, Listed, Reports, Served};
 use crate::fence::{self, Fence};
 
-/// How long an id that was in use is not taken again. Ids are new with every request: one that comes again is a
-/// client's mistake, and its bytes may mean something else.
-const SPENT: Micros = 10_000_000;
+mod spent;
+
+use spent::Spent;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
@@ -49,25 +49,6 @@
     out: Option<Out>,
 }
 
-/// Ids that were in use a short while ago.
-#[derive(Default)]
-struct Spent {
-    ids: HashSet<QueryId>,
-    by_age: VecDeque<(Micros, QueryId)>,
-}
-
-impl Spent {
-    fn add(&mut self, id: QueryId, now: Micros) {
-        while let Some((_, old)) = self.by_age.front().copied().filter(|(at, _)| at + SPENT < now) {
-            self.by_age.pop_front();
-            self.ids.remove(&old);
-        }
-        if self.ids.insert(id) {
-            self.by_age.push_back((now, id));
-        }
-    }
-}
-
 /// The dispatcher of one gateway.
 pub struct Dispatch {
     clock: Clock,
@@ -128,6 +109,12 @@
         self.gateway.borrow().listed()
     }
 
+    /// So many gateways share the engines from now on.
+    pub fn fleet(&self, gateways: u32) {
+        self.events.borrow_mut().push_back(Event::Fleet { gateways });
+        self.run();
+    }
+
     /// Takes an operator's call: nothing more to an engine, or again.
     pub fn cordon(&self, engine: EngineId, out: bool) {
         self.events.borrow_mut().push_back(Event::Cordon { engine, out });
--- /dev/null
+++ b/violetgate/src/dispatch/spent.rs
@@ -0,0 +1,28 @@
+//! Ids that were in use a short while ago, so that none is taken twice. It knows nothing of what they named.
+
+use std::collections::{HashSet, VecDeque};
+
+use linnetreach::interface::{Micros, QueryId};
+
+/// How long an id that was in use is not taken again. Ids are new with every request: one that comes again is a
+/// client's mistake, and its bytes may mean something else.
+pub(super) const SPENT: Micros = 10_000_000;
+
+/// Ids that were in use a short while ago.
+#[derive(Default)]
+pub(super) struct Spent {
+    pub ids: HashSet<QueryId>,
+    pub by_age: VecDeque<(Micros, QueryId)>,
+}
+
+impl Spent {
+    pub fn add(&mut self, id: QueryId, now: Micros) {
+        while let Some((_, old)) = self.by_age.front().copied().filter(|(at, _)| at + SPENT < now) {
+            self.by_age.pop_front();
+            self.ids.remove(&old);
+        }
+        if self.ids.insert(id) {
+            self.by_age.push_back((now, id));
+        }
+    }
+}
--- a/violetgate/src/dispatch/tests.rs
+++ b/violetgate/src/dispatch/tests.rs
@@ -1,5 +1,6 @@
 //! What the dispatcher owes the module and the clients, without sockets.
 
+use super::spent::SPENT;
 use super::*;
 use crate::exchange::Request;
 use futures_lite::FutureExt;
@@ -210,7 +211,7 @@
 fn news_of_an_attempt_reaches_the_module() {
     let (d, notes) = with(2, Settings { note_period: Some(1_000_000), ..Settings::default() });
     let _exchange = ask(&d, 1, 60_000_000);
-    let sends = |d: &Dispatch| d.open.borrow()[&1].attempts;
+    let sends = |d: &Dispatch| d.open.borrow().get(&1).map_or(0, |o| o.attempts);
     d.noted(1, 7, Progress::WaitsForMemory);
     d.noted(8, 0, Progress::WaitsForMemory);
     assert!(sends(&d) == 1 && !notes.0.borrow().iter().any(|n| n == "cancel 1"));
--- a/violetgate/src/engine/conn/tests.rs
+++ b/violetgate/src/engine/conn/tests.rs
@@ -86,7 +86,7 @@
     let bytes = [&other[..], &zero, &zero, &other, &one, &one, &zero].concat();
     let mut used = 0;
     let Some(Said::End((id, _, outcome, _, pages))) = conn.next(&bytes, &mut used, 0).unwrap() else {
-        panic!()
+        unreachable!("an end")
     };
     assert_eq!((id, outcome), (1, Outcome::Completed));
     assert_eq!(pages.concat(), b"a\tb\tc\nd\te\tf\n");
