--- a/deploy/violetgate.hcl
+++ b/deploy/violetgate.hcl
@@ -46,3 +46,18 @@
   heartbeat = "100ms"
   snapshot_every = 10000
 }
+
+# This front end as one of a fleet that shares engines (docs/fleet-operations.md). It, too, has to be taken out where none
+# is wanted; on the platform of balancer.toml, where front ends may not talk to each other, there is none.
+fleet {
+  name = "wards"
+  member = "front-1"
+  listen = "127.0.0.1:7500"
+  address = "0.0.0.0:0"
+  seeds = ["127.0.0.1:7500", "127.0.0.1:7501", "127.0.0.1:7502"]
+  probe_every = "1s"
+  reply_within = "300ms"
+  suspect_for = "3400ms"
+  settle = "15s"
+  step = "2s"
+}
--- a/fleet/membership/src/handling.rs
+++ b/fleet/membership/src/handling.rs
@@ -15,24 +15,19 @@
 const MOST_ACCUSERS: usize = 8;
 
 impl Membership {
-    /// Takes a message that came from an address.
+    /// Takes a message. Answers go to where its sender says that it is reached, not to where a datagram came from: what
+    /// stands between may show another address.
     ///
     /// # Errors
     ///
     /// It can't be heeded, and nothing has changed.
-    pub fn hear(
-        &mut self,
-        now: Micros,
-        from: SocketAddr,
-        message: &Message,
-        actions: &mut Vec<Action>,
-    ) -> Result<(), Unfit> {
+    pub fn hear(&mut self, now: Micros, message: &Message, actions: &mut Vec<Action>) -> Result<(), Unfit> {
         let sender = message.sender()?;
         self.now = now.max(self.now);
         if self.superseded || self.own.state == State::Left {
             return Ok(());
         }
-        let name = Name::clone(&sender.name);
+        let (name, from) = (Name::clone(&sender.name), sender.addr);
         for claim in &message.claims {
             self.merge(claim.clone(), actions);
         }
--- a/fleet/world/src/lib.rs
+++ b/fleet/world/src/lib.rs
@@ -61,7 +61,7 @@
 }
 
 enum Event {
-    Deliver(usize, SocketAddr, Message),
+    Deliver(usize, Message),
     Turn(usize),
 }
 
@@ -202,7 +202,7 @@
             self.now = at;
             let Some(event) = self.events.remove(&id) else { continue };
             let i = match &event {
-                Event::Deliver(to, ..) | Event::Turn(to) => *to,
+                Event::Deliver(to, _) | Event::Turn(to) => *to,
             };
             if self.weather.deaths.iter().any(|(d, t)| *d == i && *t <= at) {
                 self.running.get_mut(i).into_iter().for_each(|r| *r = false);
@@ -225,8 +225,8 @@
                     }
                     self.add(at + TURN, Event::Turn(i));
                 }
-                Event::Deliver(_, from, message) => {
-                    member.hear(at, from, &message, &mut actions).map_err(|e| e.to_string())?;
+                Event::Deliver(_, message) => {
+                    member.hear(at, &message, &mut actions).map_err(|e| e.to_string())?;
                 }
             }
             for action in actions {
@@ -252,7 +252,7 @@
                 let late =
                     if self.weather.jitter > 0 { self.rng.next_u64() % self.weather.jitter } else { 0 };
                 if to < self.members.len() && !lost && !self.weather.cuts.iter().any(hit) {
-                    self.add(now + 1_000 + late, Event::Deliver(to, addr(i), message));
+                    self.add(now + 1_000 + late, Event::Deliver(to, message));
                 }
             }
             Action::Changed(of, state) => {
--- a/violetgate/src/lib.rs
+++ b/violetgate/src/lib.rs
@@ -18,6 +18,7 @@
 mod engine;
 mod exchange;
 mod fence;
+mod fleet;
 mod keyed;
 pub mod log;
 mod net;
--- a/violetgate/src/operations.rs
+++ b/violetgate/src/operations.rs
@@ -15,6 +15,7 @@
 use crate::dispatch::Dispatch;
 use crate::door::Door;
 use crate::fence::Fence;
+use crate::fleet::Fleet;
 use crate::log;
 use crate::rest::Rest;
 use crate::stats::Stats;
@@ -49,6 +50,8 @@
     pub store: Store,
     /// The cluster that agrees on all this, if there is one.
     pub daemon: Option<Rc<Daemon>>,
+    /// The fleet that this front end is one of, if it is told of one.
+    pub fleet: Option<Rc<Fleet>>,
 }
 
 /// Carries out what operators call for.
@@ -130,6 +133,7 @@
         self.parts.stats.text(known, skipped)
             + &self.parts.rest.as_ref().map(|r| r.figures()).unwrap_or_default()
             + &self.parts.daemon.as_ref().map(|d| d.figures()).unwrap_or_default()
+            + &self.parts.fleet.as_ref().map(|f| f.figures()).unwrap_or_default()
     }
 
     fn cordon<'a>(&'a self, host: &'a str, out: bool) -> Calling<'a> {
--- a/violetgate/src/serve.rs
+++ b/violetgate/src/serve.rs
@@ -28,6 +28,7 @@
 use crate::engine::pool::Pool;
 use crate::exchange::{Engines, Intake, Listed, Reports};
 use crate::fence::Fence;
+use crate::fleet::Fleet;
 use crate::keyed::Keyed;
 use crate::operations::{Operations, Parts};
 use crate::presence::Presence;
@@ -195,12 +196,17 @@
     let fence = daemon.clone().map(|d| d as Rc<dyn Fence>);
     let pool = Pool::new(Rc::clone(&executor), clock, config.link, counts, fence.clone(), share.engines);
     let engines: Rc<dyn Engines> = Rc::<Pool>::clone(&pool);
+    let gateways = config.settings.gateways.unwrap_or(1);
     let classes = config.settings.classes.clone();
     let dispatch = Dispatch::new(clock, config.settings, config.seed, engines, fence);
     let reports: Rc<dyn Reports> = Rc::<Dispatch>::clone(&dispatch);
     let reports: Weak<dyn Reports> = Rc::downgrade(&reports);
     pool.report_to(reports);
 
+    let fleet = settings.fleet.as_ref();
+    let fleet = fleet.map(|f| Fleet::start(&executor, f, clock, config.seed, gateways, &dispatch));
+    let fleet = fleet.transpose()?.map(Rc::new);
+
     let ids = Rc::new(Ids::default());
     let place = Rc::new(Place::new(config.bus, daemon.is_some()));
     let mut bus = Bus::new(config.names.clone(), Rc::clone(&ids), Rc::clone(&place));
@@ -284,6 +290,7 @@
         rest: rest.clone(),
         store,
         daemon: daemon.clone(),
+        fleet: fleet.clone(),
     };
     let operations = Operations::new(clock, parts);
     let watch = Rc::clone(&operations);
@@ -361,6 +368,9 @@
             Timer::after(LOOK).await;
         }
     }));
+    if let Some(fleet) = &fleet {
+        fleet.leave();
+    }
     log::line("violetgate ended");
     Ok(())
 }
--- a/violetgate/src/settings/mod.rs
+++ b/violetgate/src/settings/mod.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-pub use types::{Cluster, Log, Rest, Size, Span};
+pub use types::{Cluster, Fleet, Log, Rest, Size, Span};
 
 use schema::{Block, Key, Kind, BLOCKS};
 
@@ -30,6 +30,8 @@
     pub rest: Option<Rest>,
     /// The cluster that this instance is a member of, if it is of one.
     pub cluster: Option<Cluster>,
+    /// The fleet that this front end is one of, if it is told of one.
+    pub fleet: Option<Fleet>,
 }
 
 /// Settings that members agree on: some of the keys that are taken while the program runs. They come before what an
@@ -103,9 +105,11 @@
     let lines = checked(text, false)?;
     // The tables and the types agree (tested below), so that this can't fail on what has passed them.
     let read: Settings = hcl::from_str(text).map_err(|e| vec![whole(e.to_string())])?;
-    if let Some((key, what)) = read.cluster.as_ref().and_then(|c| c.check().err()) {
-        let key = format!("cluster.{key}");
-        let line = lines.get(&key).or(lines.get("cluster")).copied().unwrap_or(1);
+    let cluster = read.cluster.as_ref().and_then(|c| Some(("cluster", c.check().err()?)));
+    let fleet = read.fleet.as_ref().and_then(|f| Some(("fleet", f.check().err()?)));
+    if let Some((block, (key, what))) = cluster.or(fleet) {
+        let key = format!("{block}.{key}");
+        let line = lines.get(&key).or(lines.get(block)).copied().unwrap_or(1);
         return Err(vec![Problem { line, key, text: what.to_owned() }]);
     }
     Ok(read)
@@ -219,6 +223,12 @@
     if matches!(key.kind, Kind::Members) {
         return members(value).ok_or_else(|| format!("has to be {}", key.kind.about()));
     }
+    if let Kind::Addresses(most) = key.kind {
+        let addresses = value.as_array().filter(|a| (1..=most).contains(&a.len()));
+        let good = |e: &Expression| e.as_str().is_some_and(|t| t.parse::<SocketAddr>().is_ok());
+        let all = addresses.is_some_and(|a| a.iter().all(good));
+        return if all { Ok(()) } else { Err(format!("has to be {}", key.kind.about())) };
+    }
     let text = value.as_str();
     let number = value.as_number().and_then(hcl_edit::Number::as_f64);
     key.kind.check(text, number)
--- a/violetgate/src/settings/schema.rs
+++ b/violetgate/src/settings/schema.rs
@@ -5,6 +5,10 @@
 
 use std::time::Duration;
 
+mod fleet;
+
+use fleet::FLEET;
+
 /// What a key's value may be.
 #[derive(Debug, Clone, Copy)]
 pub enum Kind {
@@ -24,6 +28,8 @@
     Folder,
     /// Members of a cluster: their addresses by their ids.
     Members,
+    /// A list of addresses, so many at most.
+    Addresses(usize),
 }
 
 /// One key of a block.
@@ -53,7 +59,7 @@
 }
 
 /// All blocks.
-pub const BLOCKS: &[Block] = &[LOG, REST, CLUSTER];
+pub const BLOCKS: &[Block] = &[LOG, REST, CLUSTER, FLEET];
 
 const LOG: Block = Block {
     name: "log",
@@ -295,8 +301,8 @@
                 !t.is_empty() && t.len() <= most && t.bytes().all(plain)
             }),
             Kind::Folder => text.is_some_and(|t| !t.is_empty()),
-            // It is no single value: checked by its parts.
-            Kind::Members => false,
+            // They are no single value: checked by their parts.
+            Kind::Members | Kind::Addresses(_) => false,
         };
         if good {
             Ok(())
@@ -320,6 +326,7 @@
             }
             Kind::Name(most) => format!("a name in quotes: {most} letters, digits, `.`, `-` or `_` at most"),
             Kind::Folder => "a path in quotes".to_owned(),
+            Kind::Addresses(most) => format!("1 to {most} addresses, such as [\"10.0.0.1:7500\"]"),
             Kind::Members => "members by id, such as { \"1\" = \"10.0.0.1:7480\" }".to_owned(),
         }
     }
--- a/violetgate/src/settings/tests.rs
+++ b/violetgate/src/settings/tests.rs
@@ -59,6 +59,7 @@
                 Kind::Address => "\"127.0.0.1:1\"",
                 Kind::Count(..) => "1",
                 Kind::Members => "{ \"1\" = \"127.0.0.1:1\" }",
+                Kind::Addresses(_) => "[\"127.0.0.1:1\"]",
                 _ => "\"x\"",
             });
             // Two listeners of one instance can't be at one place.
@@ -78,6 +79,7 @@
     let all = Settings {
         rest: Some(Rest::default()),
         cluster: Some(Cluster { api: ([127, 0, 0, 1], 2).into(), ..Cluster::default() }),
+        fleet: Some(Fleet::default()),
         ..Settings::default()
     };
     let none = serde_json::to_value(all).unwrap();
@@ -101,3 +103,31 @@
         }
     }
 }
+
+/// What is wrong with a fleet's block is told with its line and key.
+#[test]
+fn a_fleet_is_checked_as_a_whole() {
+    let file = |listen: &str, extra: &str| {
+        let seeds = if extra.starts_with("seeds") { "" } else { " seeds = [\"127.0.0.1:1\"]" };
+        format!("fleet {{\n name = \"w\"\n member = \"a\"\n listen = \"{listen}\"\n{seeds}\n{extra}\n}}\n")
+    };
+    assert_eq!(parse(&file("127.0.0.1:1", "")).unwrap().fleet.unwrap().seeds.len(), 1);
+    let all = "0.0.0.0:1";
+    let one = "127.0.0.1:1";
+    for (listen, extra, told) in [
+        (all, "", "1: fleet.address: or `listen` has to say where others reach this one, not every address"),
+        (
+            one,
+            "reply_within = \"400ms\"",
+            "6: fleet.reply_within: has to be a third of `probe_every` at most",
+        ),
+        (
+            one,
+            "settle = \"5s\"",
+            "6: fleet.settle: has to be twice `suspect_for` at least: views differ for so long",
+        ),
+        (one, "seeds = 7", "6: fleet.seeds: has to be 1 to 15 addresses, such as [\"10.0.0.1:7500\"]"),
+    ] {
+        assert_eq!(parse(&file(listen, extra)).unwrap_err().first().unwrap().to_string(), told);
+    }
+}
--- a/violetgate/src/settings/types.rs
+++ b/violetgate/src/settings/types.rs
@@ -157,3 +157,65 @@
         Ok(())
     }
 }
+
+/// A front end of a fleet; `docs/configuration.md` explains its keys.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+#[allow(missing_docs)]
+pub struct Fleet {
+    pub name: String,
+    pub member: String,
+    pub listen: SocketAddr,
+    pub address: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    pub probe_every: Span,
+    pub reply_within: Span,
+    pub suspect_for: Span,
+    pub settle: Span,
+    pub step: Span,
+}
+
+impl Default for Fleet {
+    fn default() -> Self {
+        let nowhere: SocketAddr = ([127, 0, 0, 1], 1).into();
+        Fleet {
+            name: "x".to_owned(),
+            member: "x".to_owned(),
+            listen: nowhere,
+            address: ([0, 0, 0, 0], 0).into(),
+            seeds: vec![nowhere],
+            probe_every: Span(Duration::from_secs(1)),
+            reply_within: Span(Duration::from_millis(300)),
+            suspect_for: Span(Duration::from_millis(3_400)),
+            settle: Span(Duration::from_secs(15)),
+            step: Span(Duration::from_secs(2)),
+        }
+    }
+}
+
+impl Fleet {
+    /// Where others reach this front end.
+    #[must_use]
+    pub fn reached_at(&self) -> SocketAddr {
+        if self.address.port() == 0 {
+            self.listen
+        } else {
+            self.address
+        }
+    }
+
+    /// What is wrong with keys that are right one by one.
+    pub(super) fn check(&self) -> Result<(), (&'static str, &'static str)> {
+        let at = self.reached_at();
+        if at.ip().is_unspecified() || at.port() == 0 {
+            return Err(("address", "or `listen` has to say where others reach this one, not every address"));
+        }
+        if self.reply_within.0 * 3 > self.probe_every.0 {
+            return Err(("reply_within", "has to be a third of `probe_every` at most"));
+        }
+        if self.settle.0 < self.suspect_for.0 * 2 {
+            return Err(("settle", "has to be twice `suspect_for` at least: views differ for so long"));
+        }
+        Ok(())
+    }
+}
