--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks. `make run` needs PROXY_CONFIG, see README.md.
-.PHONY: build test lint run ci prove-rest prove-daemon prove-run prove-membership
+.PHONY: build test lint run ci prove-rest prove-daemon prove-run prove-membership prove-fleet gate
 
 # Proofs measure for a while and hold the program to bounds; arguments by ARGS="--requests 100000".
 ARGS ?=
@@ -22,6 +22,15 @@
 	cargo build --locked --release -p violetgate-fleet-world
 	target/release/prove-membership $(ARGS)
 
+# Real processes; ARGS="--seed 7".
+prove-fleet:
+	cargo build --locked --release --workspace
+	target/release/prove-fleet $(ARGS)
+
+# What the regression gate plays next, and what it found last, on both deployments in turn.
+gate:
+	@tools/gate
+
 build:
 	cargo build --release
 
