--- a/fleet/membership/src/handling.rs
+++ b/fleet/membership/src/handling.rs
@@ -7,7 +7,7 @@
 use rand_chacha::rand_core::RngCore;
 
 use crate::claim::{Claim, Name, State};
-use crate::membership::{Action, Membership, Peer};
+use crate::membership::{Action, Membership, Mutant, Peer};
 use crate::message::{Body, Message, Unfit, MOST_CLAIMS};
 use crate::Micros;
 
@@ -93,7 +93,10 @@
             }
             return;
         }
-        if old.is_some_and(|p| p.claim.rank() > claim.rank()) {
+        let alive = claim.state == State::Alive;
+        let any = (alive && self.mutated(Mutant::AnyTurn) && old.is_some_and(|p| p.claim.life == claim.life))
+            || (alive && self.mutated(Mutant::AnyLife));
+        if !any && old.is_some_and(|p| p.claim.rank() > claim.rank()) {
             return;
         }
         let name = Name::clone(&claim.name);
@@ -134,13 +137,16 @@
 
     /// What others say of this member: a newer life of its name ends it; a suspicion or a death is refuted.
     fn heard_of_self(&mut self, claim: &Claim, actions: &mut Vec<Action>) {
-        if claim.life > self.own.life {
+        if claim.life > self.own.life && !self.mutated(Mutant::AnyLife) {
             if !std::mem::replace(&mut self.superseded, true) {
                 actions.push(Action::Superseded);
             }
         } else if claim.life < self.own.life {
             self.spread.push(self.own.clone());
-        } else if claim.turn >= self.own.turn && claim.state != State::Alive {
+        } else if claim.turn >= self.own.turn
+            && claim.state != State::Alive
+            && !self.mutated(Mutant::NoRefutation)
+        {
             self.own.turn = claim.turn.saturating_add(1);
             self.strain = (self.strain + 1).min(8);
             self.spread.push(self.own.clone());
--- a/fleet/membership/src/lib.rs
+++ b/fleet/membership/src/lib.rs
@@ -16,6 +16,8 @@
 mod spread;
 
 pub use claim::{place, Claim, Name, State, LONGEST_NAME};
+#[doc(hidden)]
+pub use membership::Mutant;
 pub use membership::{Action, Manner, Member, Membership};
 pub use message::{Body, Message, Unfit, MOST_CLAIMS};
 pub use rings::Rings;
--- a/fleet/membership/src/membership.rs
+++ b/fleet/membership/src/membership.rs
@@ -14,6 +14,24 @@
 use crate::spread::Spread;
 use crate::Micros;
 
+/// A way to decide wrongly, for tests that have to notice it; without the feature `mutants` none ever holds.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutant {
+    /// A process that was stopped accuses others at once of what was its own silence.
+    NoSelfDoubt,
+    /// A refutation is believed whatever its turn.
+    AnyTurn,
+    /// A refutation of an older life is believed, and a newer life is not told apart.
+    AnyLife,
+    /// One that answers others only is accused.
+    CutIsDeath,
+    /// One that watches a member is enough to have it dead.
+    LoneJudge,
+    /// A member that hears of its death does not refute it.
+    NoRefutation,
+}
+
 /// How a member behaves. The same everywhere, or the slowest decides how soon a death is told.
 #[derive(Debug, Clone)]
 pub struct Manner {
@@ -37,6 +55,9 @@
     pub forget: Micros,
     /// The most members that are known, dead ones too.
     pub most: usize,
+    /// How it decides wrongly, if it does.
+    #[cfg(feature = "mutants")]
+    pub mutant: Option<Mutant>,
 }
 
 impl Default for Manner {
@@ -52,6 +73,8 @@
             exchange_every: 5_000_000,
             forget: 600_000_000,
             most: 4_000,
+            #[cfg(feature = "mutants")]
+            mutant: None,
         }
     }
 }
@@ -171,6 +194,17 @@
         }
     }
 
+    #[cfg(feature = "mutants")]
+    pub(crate) fn mutated(&self, how: Mutant) -> bool {
+        self.manner.mutant == Some(how)
+    }
+
+    #[cfg(not(feature = "mutants"))]
+    #[allow(clippy::unused_self)]
+    pub(crate) fn mutated(&self, _: Mutant) -> bool {
+        false
+    }
+
     /// This member's name.
     #[must_use]
     pub fn name(&self) -> &Name {
--- a/fleet/membership/src/probing.rs
+++ b/fleet/membership/src/probing.rs
@@ -7,7 +7,7 @@
 use rand_chacha::rand_core::RngCore;
 
 use crate::claim::{Claim, Name, State};
-use crate::membership::{Action, Membership};
+use crate::membership::{Action, Membership, Mutant};
 use crate::message::{Body, Message, MOST_CLAIMS};
 use crate::Micros;
 
@@ -48,7 +48,7 @@
         if self.superseded || self.own.state == State::Left {
             return;
         }
-        if gap > STOPPED {
+        if gap > STOPPED && !self.mutated(Mutant::NoSelfDoubt) {
             self.wake_up(gap);
         }
         self.look_at_self();
@@ -151,7 +151,7 @@
         let (now, own) = (self.now, Name::clone(&self.own.name));
         let recent = |heard: Micros| now.saturating_sub(heard) < self.manner.probe_every;
         let deaf = !self.peers.values().any(|p| recent(p.heard));
-        if probe.others {
+        if probe.others && !self.mutated(Mutant::CutIsDeath) {
             self.set_cut(&probe.target, true, actions);
             return;
         }
@@ -215,6 +215,7 @@
         let own = &self.own.name;
         let (now, base) =
             (self.now, self.manner.suspect_for + self.manner.suspect_for * u64::from(self.strain) / 8);
+        let needed = if self.mutated(Mutant::LoneJudge) { 1 } else { 2 };
         let dead = |p: &&crate::membership::Peer| {
             if p.claim.state != State::Suspect || !p.accusers.contains(own) || now < p.since + base {
                 return false;
@@ -226,7 +227,7 @@
             // One that comes back again and again takes longer each time, or the view would never settle.
             let wait = (base + base * missing / 2) << p.revived.min(4);
             watchers.contains(own)
-                && accusing >= watchers.len().min(2)
+                && accusing >= watchers.len().min(needed)
                 && now >= p.since + wait
                 && now >= p.heard + base / 2
         };
--- a/fleet/world/src/lib.rs
+++ b/fleet/world/src/lib.rs
@@ -60,12 +60,14 @@
     pub state: State,
 }
 
+#[derive(Debug, Clone)]
 enum Event {
     Deliver(usize, Message),
     Turn(usize),
 }
 
 /// A fleet at work.
+#[derive(Debug, Clone)]
 pub struct World {
     weather: Weather,
     members: Vec<Membership>,
@@ -263,6 +265,44 @@
         }
     }
 
+    /// From now on this happens, and nothing that was to come before.
+    pub fn befall(&mut self, weather: Weather) {
+        self.weather = weather;
+    }
+
+    /// Those that stood still go on now: what waited for them comes at once.
+    pub fn wake(&mut self) {
+        let far: Vec<u64> = self
+            .queue
+            .iter()
+            .filter(|Reverse((at, _))| *at > self.now + 10 * S)
+            .map(|Reverse((_, id))| *id)
+            .collect();
+        let mut queue: Vec<Reverse<(Micros, u64)>> = std::mem::take(&mut self.queue).into_vec();
+        queue.retain(|Reverse((_, id))| !far.contains(id));
+        queue.extend(far.into_iter().map(|id| Reverse((self.now + 1, id))));
+        self.queue = queue.into();
+    }
+
+    /// A process of that number starts anew, as a new life of its name, knowing only the seeds.
+    pub fn restart(&mut self, i: usize, manner: &Manner, life: Micros) {
+        let seeds: Vec<SocketAddr> = (0..self.members.len().min(3)).map(addr).collect();
+        let new = Membership::new(manner.clone(), name(i), addr(i), life, &seeds, life ^ i as u64);
+        let (Some(member), Some(running)) = (self.members.get_mut(i), self.running.get_mut(i)) else {
+            return;
+        };
+        *member = new;
+        let turned = std::mem::replace(running, true);
+        if !turned {
+            self.add(self.now, Event::Turn(i));
+        }
+    }
+
+    /// A message reaches a member, whoever sent it.
+    pub fn inject(&mut self, to: usize, message: Message) {
+        self.add(self.now, Event::Deliver(to, message));
+    }
+
     /// The time.
     #[must_use]
     pub fn now(&self) -> Micros {
