--- a/src/wire.rs
+++ b/src/wire.rs
@@ -5,14 +5,18 @@
 use std::collections::BTreeMap;
 use std::fmt;
 
-use serde::{Deserialize, Serialize};
-
 use crate::interface::{
     Action, Class, Cost, DedupGroup, Effect, Ended, Engine, EngineId, EngineState, Event, Kind, ListScope,
     Load, Micros, NewQuery, Outcome, Progress, QueryId, ResendBudget, Settings,
 };
 use crate::rules::Gateway;
 
+mod form;
+
+use form::{
+    Answer, Batch, Entry, Line, Reply, Scope, State, Status, WireClass, WireEffect, WireGroup, WireSettings,
+};
+
 /// What was wrong with a line.
 #[derive(Debug)]
 pub struct WireError(String);
@@ -25,236 +29,6 @@
 
 impl std::error::Error for WireError {}
 
-#[derive(Debug, Deserialize)]
-struct Batch {
-    clock: f64,
-    events: Vec<Line>,
-}
-
-/// Every field that an event may carry; `cmd` tells which of them matter.
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Line {
-    cmd: String,
-    gateway: Option<u32>,
-    salt: Option<u64>,
-    settings: Option<WireSettings>,
-    slot: Option<u8>,
-    lines: Option<Vec<Entry>>,
-    how: Option<Scope>,
-    rid: Option<String>,
-    ram_mb: Option<f64>,
-    band: Option<u32>,
-    cost: Option<f64>,
-    state_bits: Option<u32>,
-    order_key: Option<String>,
-    remaining: Option<f64>,
-    tables: Option<f64>,
-    project: Option<u32>,
-    round_no: Option<u32>,
-    node: Option<String>,
-    topic: Option<u32>,
-    value: Option<f64>,
-    delay_seen: Option<f64>,
-    #[serde(default)]
-    settled: bool,
-    status: Option<Status>,
-    stats: Option<u64>,
-    metrics: Option<Vec<f64>>,
-}
-
-#[derive(Debug, Clone, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-struct Entry {
-    node: String,
-    #[serde(default)]
-    dc: u32,
-    #[serde(default)]
-    flavor: u32,
-    #[serde(default)]
-    unit_group: u32,
-    state: State,
-    ready_at: Option<f64>,
-}
-
-#[derive(Debug, Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum State {
-    InService,
-    Terminating,
-    Terminated,
-}
-
-#[derive(Debug, Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum Scope {
-    Patch,
-    Whole,
-    StaleCopy,
-    Broken,
-}
-
-#[derive(Debug, Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum Status {
-    Completed,
-    Errored,
-    Saturated,
-    Overdue,
-    RefusedConn,
-    Severed,
-    Recalled,
-    Superseded,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-struct WireSettings {
-    balancers: Option<u32>,
-    locality: Option<u32>,
-    classes: Vec<WireClass>,
-    kinds: Vec<serde::de::IgnoredAny>,
-    domain: Domain,
-    feedback: Feedback,
-    limits: Limits,
-    over_share_worth: Option<f64>,
-    realms: Vec<Realm>,
-    rules: Rules,
-    discovery: Option<String>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-struct WireClass {
-    aim_stretch: Option<f64>,
-    credit: Option<f64>,
-    deadline: Option<f64>,
-    effect: Option<WireEffect>,
-    group: Option<WireGroup>,
-    late_worth: Option<f64>,
-    objective: Option<f64>,
-    window: Option<f64>,
-    by_arrival: bool,
-    kinds_only: Option<Vec<u32>>,
-    stays_in: Option<Vec<u32>>,
-}
-
-#[derive(Debug, Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireEffect {
-    Idempotent,
-    Deduplicated,
-    AtMostOnce,
-}
-
-#[derive(Debug, Clone, Copy, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum WireGroup {
-    All,
-    Zone,
-    Cell,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-struct Domain {
-    class_waits: Vec<bool>,
-    grants: bool,
-    is_load: Vec<bool>,
-    memory_by_kind_mb: Vec<f64>,
-    most_grant: Option<f64>,
-    note_period: Option<f64>,
-    parallelism: Vec<f64>,
-    priorities: bool,
-    size_cores: Vec<f64>,
-    tells_cost: bool,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-struct Feedback {
-    fields: Vec<String>,
-    via: Option<String>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-struct Limits {
-    cancel: bool,
-    max_attempts: Option<u32>,
-    max_retry_after: Option<f64>,
-    probes: bool,
-    retry_after: bool,
-    second_copies: bool,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-struct Rules {
-    cold: Option<f64>,
-    cold_share: Option<f64>,
-    fall: Option<f64>,
-    fall_multiple: Option<f64>,
-    grace_to_answer: Option<f64>,
-    turn_gap: Option<f64>,
-    free_resends: Option<f64>,
-    extra_share: Option<f64>,
-    resend_span: Option<f64>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(rename_all = "kebab-case", default)]
-struct Realm {
-    allowance_per_s: Option<f64>,
-}
-
-#[derive(Debug, Serialize)]
-struct Reply {
-    r#do: Vec<Answer>,
-}
-
-#[derive(Debug, Serialize)]
-#[serde(tag = "cmd", rename_all = "kebab-case")]
-enum Answer {
-    HandOff {
-        gateway: u32,
-        rid: String,
-        node: String,
-        within: f64,
-    },
-    Terms {
-        gateway: u32,
-        rid: String,
-        memory: f64,
-        rank: u8,
-    },
-    DropAttempt {
-        gateway: u32,
-        rid: String,
-        #[serde(rename = "round-no")]
-        round_no: u32,
-    },
-    Shed {
-        gateway: u32,
-        rid: String,
-        #[serde(rename = "stay-away")]
-        stay_away: f64,
-    },
-    RespondError {
-        gateway: u32,
-        rid: String,
-    },
-    Timer {
-        gateway: u32,
-        moment: f64,
-        nonce: &'static str,
-    },
-    Follow {
-        gateway: u32,
-        active: bool,
-    },
-}
-
 fn micros(seconds: f64) -> Micros {
     (seconds.max(0.0) * 1e6).round() as Micros
 }
