--- a/tools/standin/src/client.rs
+++ b/tools/standin/src/client.rs
@@ -143,7 +143,7 @@
 pub type Rows = std::result::Result<Vec<[String; 3]>, String>;
 
 /// A session of a PostgreSQL client.
-pub struct Pg(BufReader<TcpStream>);
+pub struct Pg(BufReader<TcpStream>, String);
 
 impl Pg {
     /// Begins a session over a connection, and waits so long for anything at most.
@@ -155,7 +155,7 @@
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(wait))?;
         stream.write_all(b"\0\0\0\x25\0\x03\0\0user\0app\0database\0analytics\0\0")?;
-        let mut pg = Pg(BufReader::new(stream));
+        let mut pg = Pg(BufReader::new(stream), String::new());
         pg.read()?.map_err(bad)?;
         Ok(pg)
     }
@@ -173,6 +173,12 @@
         self.0.get_mut().write_all(&bytes)
     }
 
+    /// The text of the last error.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        &self.1
+    }
+
     /// Reads up to ReadyForQuery.
     ///
     /// # Errors
@@ -190,8 +196,10 @@
             match kind {
                 b'Z' => return Ok(error.map_or(Ok(rows), Err)),
                 b'E' => {
-                    let code = body.split(|b| *b == 0).find_map(|f| f.strip_prefix(b"C"));
-                    error = Some(String::from_utf8_lossy(code.unwrap_or_default()).into_owned());
+                    let field = |name: &[u8]| body.split(|b| *b == 0).find_map(|f| f.strip_prefix(name));
+                    let code = field(b"C").unwrap_or_default();
+                    error = Some(String::from_utf8_lossy(code).into_owned());
+                    self.1 = String::from_utf8_lossy(field(b"M").unwrap_or_default()).into_owned();
                 }
                 b'D' => rows.push(row(&body).ok_or_else(|| bad("row"))?),
                 _ => {}
--- a/tools/standin/src/counts.rs
+++ b/tools/standin/src/counts.rs
@@ -12,6 +12,8 @@
 pub struct Counts {
     /// Attempts that came whole, by request id.
     pub by_request: HashMap<String, u32>,
+    /// Megabytes that the last attempt of a request was granted; 0: the engine's own choice.
+    pub reserved: BTreeMap<String, u64>,
     /// Attempts that came whole, by idempotency key.
     pub by_key: HashMap<String, u32>,
     /// How often a key had its effect: repeats within the window are dropped.
--- a/tools/standin/src/engine.rs
+++ b/tools/standin/src/engine.rs
@@ -210,8 +210,11 @@
         let words: Vec<&str> = command.words.iter().map(String::as_str).collect();
         match words.as_slice() {
             ["serve", rid, fields, _] => {
-                let key = fields.split(',').find_map(|f| f.strip_prefix("op="));
+                let field = |name: &str| fields.split(',').find_map(|f| f.strip_prefix(name));
+                let (key, reserve) = (field("op="), field("reserve="));
                 lock(&self.counts).attempt(&self.id, rid, key);
+                let reserve = reserve.and_then(|mb| mb.parse().ok()).unwrap_or(0);
+                lock(&self.counts).reserved.insert((*rid).to_owned(), reserve);
                 if self.ails(Fault::ResetOnServe) {
                     return Ok(false);
                 }
@@ -266,6 +269,23 @@
         Ok(true)
     }
 
+    /// Works for so long, with a note each so many milliseconds, and one of a kind that nobody knows yet at the start.
+    async fn work(&self, stream: &Async<TcpStream>, rid: &str, took: Duration, notes: u64) {
+        let (mut left, each) = (took, Duration::from_millis(notes));
+        if notes > 0 {
+            let _ = say(stream, &format!("{rid} progress n=mood,amount=1 0\r\n\r\n")).await;
+        }
+        while notes > 0 && left > each {
+            Timer::after(each).await;
+            left -= each;
+            let share = 1.0 - left.as_secs_f64() / took.as_secs_f64();
+            let _ = say(stream, &format!("{rid} progress n=advance,amount={share:.3} 0\r\n\r\n")).await;
+        }
+        if !left.is_zero() {
+            Timer::after(left).await;
+        }
+    }
+
     async fn run(
         &self,
         stream: &Async<TcpStream>,
@@ -276,9 +296,7 @@
     ) {
         let work = Work::of(statement);
         let took = Duration::from_millis(work.ms).mul_f64(self.slowness());
-        if !took.is_zero() {
-            Timer::after(took).await;
-        }
+        self.work(stream, rid, took, work.notes).await;
         self.while_ails(&[Fault::Stall, Fault::Vanish]).await;
         if lock(held).running.remove(rid).map(Task::detach).is_none() {
             return;
@@ -298,7 +316,8 @@
         if chunks > 1 {
             lock(held).pages.insert(rid.to_owned(), pages);
         }
-        let fields = format!("chunks={chunks},spent={},wanted=16", work.ms);
+        let cost = if work.untold { String::new() } else { format!(",spent={},wanted=16", work.ms) };
+        let fields = format!("chunks={chunks}{cost}");
         let _ = say(stream, &format!("{rid} ok {fields} {}\r\n{first}\r\n", first.len())).await;
     }
 }
