Let the demo go on when an instance ends, tell who is alive, and bring it back on 'start N'

Change: with several instances each is one of a fleet, too; one that ends is told of, the others go on, 'start N' brings it back; the demo ends with its last instance or at Ctrl-C.

--- a/violetgate/src/demo.rs
+++ b/violetgate/src/demo.rs
@@ -1,8 +1,9 @@
 //! `violetgate demo`: a front end before stand-in engines on loopback, in one command, to be tried with `psql` and
 //! `curl`. The engines and their bus run here, the front end in a process of its own, as in service.
 
-use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command};
+use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
 
 use async_io::Timer;
@@ -35,6 +36,9 @@
     /// Port for members of the cluster; their APIs are ten ports on
     #[arg(long, default_value_t = 7480)]
     cluster_port: u16,
+    /// Port for datagrams between the instances
+    #[arg(long, default_value_t = 7580)]
+    fleet_port: u16,
 }
 
 /// A folder that goes with the demo.
@@ -53,6 +57,7 @@
     management: String,
     peer: String,
     api: String,
+    fleet: String,
 }
 
 impl Instance {
@@ -64,6 +69,7 @@
             management: at(demo.management_port),
             peer: at(demo.cluster_port),
             api: at(demo.cluster_port.saturating_add(10)),
+            fleet: at(demo.fleet_port),
         }
     }
 }
@@ -89,7 +95,10 @@
     let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
     let instances: Vec<_> = (0..demo.instances).map(|n| Instance::new(demo, n)).collect();
     for instance in &instances {
-        let Instance { listen, rest, management, peer, api } = instance;
+        let Instance { listen, rest, management, peer, api, fleet: at } = instance;
+        if demo.instances > 1 {
+            std::net::UdpSocket::bind(at).map_err(|e| format!("{at}: {e}; is there another demo?"))?;
+        }
         let own = if demo.instances > 1 { 5 } else { 3 };
         // Front ends share their ports with their successors, and would with another demo, without a word.
         for at in [listen, rest, management, peer, api].into_iter().take(own) {
@@ -98,7 +107,12 @@
     }
     let members: String =
         instances.iter().zip(1..).map(|(i, id)| format!("    \"{id}\" = \"{}\"\n", i.peer)).collect();
-    let mut children = Vec::new();
+    let seeds: Vec<_> = instances.iter().map(|i| format!("\"{}\"", i.fleet)).collect();
+    let mut settings = violetgate_standin::settings();
+    if let Some(settings) = settings.as_object_mut() {
+        settings.insert("balancers".to_owned(), demo.instances.into());
+    }
+    let mut processes = Vec::new();
     for (instance, id) in instances.iter().zip(1..) {
         let own = folder.0.join(format!("{id}"));
         std::fs::create_dir_all(&own).map_err(|e| format!("{}: {e}", own.display()))?;
@@ -107,8 +121,8 @@
             std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
             Ok::<_, String>(path)
         };
-        let config = fleet.config(&format!("demo-{id}"), &instance.listen, &violetgate_standin::settings());
-        let config = file("config.json", config.to_string())?;
+        let config = fleet.config(&format!("demo-{id}"), &instance.listen, &settings);
+        file("config.json", config.to_string())?;
         let mut text = format!("rest {{\n  listen = \"{}\"\n}}\n", instance.rest);
         if demo.instances > 1 {
             text += &format!(
@@ -118,6 +132,12 @@
                 instance.peer,
                 instance.api,
             );
+            text += &format!(
+                "fleet {{\n  name = \"demo\"\n  member = \"demo-{id}\"\n  listen = \"{}\"\n  seeds = [{}]\n  \
+                 settle = \"8s\"\n}}\n",
+                instance.fleet,
+                seeds.join(", "),
+            );
         }
         let settings = file("violetgate.hcl", text)?;
         if demo.instances > 1 {
@@ -126,58 +146,97 @@
                 return Err(format!("the folder of member {id} can't be made"));
             }
         }
-        let child = Command::new(&program)
-            .arg("serve")
-            .arg("--settings")
-            .arg(settings)
-            .env("PROXY_CONFIG", config)
-            .env("PROXY_LISTEN", &instance.listen)
-            .env("PROXY_MANAGEMENT", &instance.management)
-            .env("TMPDIR", &own)
-            .spawn()
-            .map_err(|e| format!("the front end: {e}"))?;
-        children.push(child);
+        let child = Some(serve(&program, instance, &own)?);
+        processes.push(Process { instance, own, child });
     }
     print!("{}", welcome(demo, &instances));
-    let first = async_io::block_on(async {
+    let calls = calls();
+    let ended = async_io::block_on(async {
         let asked = async {
             signals.next().await;
-            None
+            Ok(())
         };
-        let ended = async { Some(any(&mut children).await) };
-        ended.or(asked).await
+        watch(&program, &mut processes, &calls).or(asked).await
     });
-    let mut statuses: Vec<_> = first.into_iter().collect();
+    let mut children: Vec<_> = processes.into_iter().filter_map(|p| p.child).collect();
     children.iter().for_each(kill);
+    let mut failed = Vec::new();
     for child in &mut children {
-        statuses.push(async_io::block_on(wait(child)));
-    }
-    for status in statuses {
-        match status {
+        match child.wait() {
             Ok(status) if status.success() => {}
-            Ok(status) => return Err(format!("a front end ended with {status}")),
-            Err(e) => return Err(format!("a front end: {e}")),
+            Ok(status) => failed.push(format!("a front end ended with {status}")),
+            Err(e) => failed.push(format!("a front end: {e}")),
         }
     }
-    Ok(())
+    ended?;
+    failed.into_iter().next().map_or(Ok(()), Err)
 }
 
-/// Waits until one of them has ended.
-async fn any(children: &mut [Child]) -> std::io::Result<ExitStatus> {
-    loop {
-        for child in &mut *children {
-            if let Some(status) = child.try_wait()? {
-                return Ok(status);
+/// One front end of the demo, while it runs.
+struct Process<'a> {
+    instance: &'a Instance,
+    own: PathBuf,
+    child: Option<Child>,
+}
+
+fn serve(program: &Path, instance: &Instance, own: &Path) -> Result<Child, String> {
+    Command::new(program)
+        .arg("serve")
+        .arg("--settings")
+        .arg(own.join("violetgate.hcl"))
+        .env("PROXY_CONFIG", own.join("config.json"))
+        .env("PROXY_LISTEN", &instance.listen)
+        .env("PROXY_MANAGEMENT", &instance.management)
+        .env("TMPDIR", own)
+        .stdin(std::process::Stdio::null())
+        .spawn()
+        .map_err(|e| format!("the front end: {e}"))
+}
+
+/// What is typed, line by line. A thread of its own waits for it; it ends with the program.
+fn calls() -> Receiver<String> {
+    let (typed, calls) = channel();
+    std::thread::spawn(move || {
+        for line in std::io::stdin().lines().map_while(Result::ok) {
+            if typed.send(line).is_err() {
+                break;
             }
         }
-        Timer::after(LOOK).await;
-    }
+    });
+    calls
 }
 
-async fn wait(child: &mut Child) -> std::io::Result<ExitStatus> {
+/// Watches the front ends until the last has ended. One of several that ends is told of and can be brought back; what
+/// ends with an error as the last is the demo's.
+async fn watch(program: &Path, all: &mut [Process<'_>], calls: &Receiver<String>) -> Result<(), String> {
     loop {
-        if let Some(status) = child.try_wait()? {
-            return Ok(status);
+        let count = all.len();
+        let mut last = None;
+        for (p, id) in all.iter_mut().zip(1..) {
+            let Some(child) = &mut p.child else { continue };
+            let ended = child.try_wait().map_err(|e| format!("a front end: {e}"))?;
+            if let Some(status) = ended {
+                p.child = None;
+                last = Some(status);
+                if count > 1 {
+                    println!("instance {id} has ended ({status}); `start {id}` here brings it back");
+                }
+            }
+        }
+        if all.iter().all(|p| p.child.is_none()) {
+            return match last {
+                Some(status) if !status.success() => Err(format!("a front end ended with {status}")),
+                _ => Ok(()),
+            };
+        }
+        while let Ok(call) = calls.try_recv() {
+            let id = call.trim().strip_prefix("start").and_then(|n| n.trim().parse::<usize>().ok());
+            match id.and_then(|id| all.get_mut(id.checked_sub(1)?)) {
+                Some(p) if p.child.is_some() => println!("it runs"),
+                Some(p) => p.child = Some(serve(program, p.instance, &p.own)?),
+                None if call.trim().is_empty() => {}
+                None => println!("`start N`, N from 1 to {count}, brings an instance back"),
+            }
         }
         Timer::after(LOOK).await;
     }
@@ -189,13 +248,14 @@
     let apis = instances.iter().map(|i| i.api.as_str()).collect::<Vec<_>>().join(",");
     let cluster = if instances.len() > 1 {
         format!(
-            r#"{} instances on ports that follow each other agree on cordons, drains and settings:
+            r#"{} instances on ports that follow each other agree on cordons, drains and settings, and know who is alive:
 
   export VIOLETGATE_AT={apis}
   violetgate members list
   violetgate ctl cordon e-1
   violetgate ctl watch &
   violetgate ctl put greeting hello
+  curl -s http://{management}/admin/stats | grep fleet    # then stop or kill one, and look again
 
 "#,
             instances.len()
