--- a/src/rules/fleet.rs
+++ b/src/rules/fleet.rs
@@ -7,7 +7,7 @@
         THREADS_PER_CORE * cores / self.gateways
     }
 
-    /// More or fewer share the engines: this gateway's part of each follows, and what it has learnt to use there.
+    /// More or fewer share the engines: this gateway's part of each follows, as learnt to be used there.
     pub(super) fn share(&mut self, gateways: u32) {
         let ratio = self.gateways / f64::from(gateways.max(1));
         self.gateways /= ratio;
