--- a/fleet/membership/src/probing.rs
+++ b/fleet/membership/src/probing.rs
@@ -157,10 +157,14 @@
         }
         self.strain = (self.strain + u32::from(deaf)).min(8);
         let Some(p) = self.peers.get(&probe.target).filter(|p| p.on_rings()) else { return };
-        // Heard since then by any message of its own: it runs.
-        if self.woken.is_some() || p.heard > probe.sent {
+        let runs = p.heard > probe.sent;
+        if self.woken.is_some() {
             return;
         }
+        // Its own words came since then: it runs, and does not hear this one.
+        if runs {
+            return self.set_cut(&probe.target, true, actions);
+        }
         let claim = Claim { state: State::Suspect, by: Some(own), ..p.claim.clone() };
         self.merge(claim, actions);
     }
--- a/fleet/rig/src/lib.rs
+++ b/fleet/rig/src/lib.rs
@@ -111,6 +111,13 @@
         line.split("state=\"").nth(1)?.split('"').next().map(str::to_owned)
     }
 
+    /// Whether it says that its link to another is cut.
+    #[must_use]
+    pub fn cut_off(&self, other: &str) -> bool {
+        let cut = format!("svc_fleet_link_cut_seconds{{member=\"{other}\"");
+        self.figures().keys().any(|n| n.starts_with(&cut))
+    }
+
     /// How many it reckons with.
     #[must_use]
     pub fn share(&self) -> Option<u32> {
