Say once what a doubted member is told, and reckon a view's digest once a round

Seen on reading the change again: ping and answer each looked up the claim that a doubted member is told; knocking reckoned the digest of the whole view for each door; the proof wrote its fleet's size twice. Change: Membership::doubted serves both, the digest stands before the loop, the size is one variable. No behaviour changed.

--- a/fleet/membership/src/handling.rs
+++ b/fleet/membership/src/handling.rs
@@ -49,8 +49,7 @@
         }
         match &message.body {
             Body::Ping(seq) => {
-                let doubted = self.peers.get(&name).filter(|p| p.claim.state != State::Alive);
-                let told = doubted.map(|p| p.claim.clone());
+                let told = self.doubted(&name);
                 let message = self.message(Body::Ack(*seq), told);
                 actions.push(Action::Send(from, message));
             }
@@ -213,12 +212,12 @@
         let dead = self.peers.values().filter(|p| p.claim.state == State::Dead).map(|p| p.claim.addr);
         let unknown = self.seeds.iter().copied().filter(|s| !known.contains(s));
         let mut doors: Vec<SocketAddr> = dead.chain(unknown).collect();
+        let digest = self.digest();
         for _ in 0..2.min(doors.len()) {
             let at = (self.rng.next_u64() % doors.len() as u64) as usize;
             let addr = doors.swap_remove(at);
             let told =
                 self.peers.values().find(|p| p.claim.addr == addr && !p.on_rings()).map(|p| p.claim.clone());
-            let digest = self.digest();
             let message = self.message(Body::Compare(digest), told);
             actions.push(Action::Send(addr, message));
         }
--- a/fleet/membership/src/probing.rs
+++ b/fleet/membership/src/probing.rs
@@ -96,10 +96,13 @@
         Message { body, claims }
     }
 
+    /// What one that is suspected, or taken for dead, is told with each ping and answer: it can only refute what it hears.
+    pub(crate) fn doubted(&self, name: &Name) -> Option<Claim> {
+        self.peers.get(name).filter(|p| p.claim.state != State::Alive).map(|p| p.claim.clone())
+    }
+
     fn ping(&mut self, target: &Name, addr: SocketAddr, seq: u64, actions: &mut Vec<Action>) {
-        // One that is suspected, or taken for dead, is told so: it can only refute what it hears.
-        let doubted = self.peers.get(target).filter(|p| p.claim.state != State::Alive);
-        let told = doubted.map(|p| p.claim.clone());
+        let told = self.doubted(target);
         let message = self.message(Body::Ping(seq), told);
         actions.push(Action::Send(addr, message));
     }
@@ -157,12 +160,11 @@
         }
         self.strain = (self.strain + u32::from(deaf)).min(8);
         let Some(p) = self.peers.get(&probe.target).filter(|p| p.on_rings()) else { return };
-        let runs = p.heard > probe.sent;
         if self.woken.is_some() {
             return;
         }
         // Its own words came since then: it runs, and does not hear this one.
-        if runs {
+        if p.heard > probe.sent {
             return self.set_cut(&probe.target, true, actions);
         }
         let claim = Claim { state: State::Suspect, by: Some(own), ..p.claim.clone() };
--- a/fleet/world/src/bin/prove-membership.rs
+++ b/fleet/world/src/bin/prove-membership.rs
@@ -138,29 +138,13 @@
     };
     let (median, p99) = (at(0.5).unwrap_or(0), at(0.99).unwrap_or(Micros::MAX / 2));
     println!("death to the last that knows: {} deaths at {large}, median {median} us, p99 {p99} us, {unknown} unknown", times.len());
-    let (small, big) = (
-        traffic(50, 1),
-        traffic(
-            if short {
-                100
-            } else if full {
-                1000
-            } else {
-                300
-            },
-            1,
-        ),
-    );
-    println!(
-        "bytes a second and member, quiet: {small:.0} at 50, {big:.0} at {}",
-        if short {
-            100
-        } else if full {
-            1000
-        } else {
-            300
-        }
-    );
+    let wide = match (short, full) {
+        (true, _) => 100,
+        (false, true) => 1000,
+        (false, false) => 300,
+    };
+    let (small, big) = (traffic(50, 1), traffic(wide, 1));
+    println!("bytes a second and member, quiet: {small:.0} at 50, {big:.0} at {wide}");
     let flaps = (0..if short { 2 } else { 10 })
         .flat_map(|s| [deaf(10, s, false), deaf(10, s, true)])
         .max()
