Begin no attempt late: its client gone, its answer given, or its repeat's window over

Cause, from reading dispatch.rs and conn.rs: an attempt that waits for its connection to come up counts as sent, but its first byte leaves up to the connect time-out later, or much later after two broken connections (pool.rs, place). Dispatch::withdraw told the module only, and the module withdraws no attempt of a class that may not be repeated, sent or not; so it went out for a client that had gone. Nothing looked at the deduplication window again at the first byte. Ruled out: engine list, cordon, fence and deadline are each looked at again (take_unwritten, place, Due::Overdue). Change: Engines::recall takes back what has surely not begun, as the client leaves and as the answer is given up; an attempt carries begin_by, the earlier of its deadline and the window that began with the first attempt that may have run, and Pool::write takes back what is past it; patience is told from the first byte's time.

--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -18,9 +18,10 @@
 use linnetreach::{Action, Event, Gateway, Settings};
 
 use crate::clock::Clock;
-use crate::exchange::{Answer, Attempt, AttemptEnd, Engines, Exchange, Intake, Listed, Reports, Served};
+use crate::exchange::{Answer, Attempt, AttemptEnd, Engines, Exchange, Intake as _, Listed, Reports, Served};
 use crate::fence::{self, Fence};
 
+mod intake;
 mod spent;
 
 use spent::Spent;
@@ -42,6 +43,9 @@
 struct Open {
     exchange: Rc<Exchange>,
     effect: Effect,
+    /// Where engines discard repeats, for how long, and when the first attempt left that they may have seen.
+    window: Option<Micros>,
+    first: Option<Micros>,
     answered: bool,
     attempts: u32,
     level: Option<u8>,
@@ -53,7 +57,7 @@
 pub struct Dispatch {
     clock: Clock,
     gateway: RefCell<Gateway>,
-    effects: Vec<Effect>,
+    effects: Vec<(Effect, Option<Micros>)>,
     engines: Rc<dyn Engines>,
     /// Whether anything may be sent, where that is not always so.
     fence: Option<Rc<dyn Fence>>,
@@ -79,7 +83,7 @@
     ) -> Rc<Self> {
         Rc::new(Dispatch {
             clock,
-            effects: settings.classes.iter().map(|c| c.effect).collect(),
+            effects: settings.classes.iter().map(|c| (c.effect, c.dedup_window)).collect(),
             gateway: RefCell::new(Gateway::new(settings, seed)),
             engines,
             fence,
@@ -263,9 +267,11 @@
             return;
         }
         o.out = Some(Out { number, engine, sent: now, until });
+        // It may wait for a connection: a repeat that left after its window would run a second time.
+        let begin_by = o.first.zip(o.window).map_or(until, |(first, window)| until.min(first + window));
         let exchange = Rc::clone(&o.exchange);
         let (level, grant_mb) = (o.level, o.grant_mb);
-        let attempt = Attempt { exchange, number, engine, level, grant_mb, patience: until - now };
+        let attempt = Attempt { exchange, number, engine, level, grant_mb, begin_by, until };
         drop(open);
         self.schedule(until, Due::Overdue(id, number));
         self.engines.send(attempt);
@@ -295,6 +301,19 @@
         }
         if o.out.is_none() {
             self.strike(&mut open, id);
+            return;
+        }
+        drop(open);
+        self.recall(id);
+    }
+
+    /// Nobody waits for it any more. An attempt that still waits for its connection must not begin; one that has begun
+    /// is the module's to withdraw or to leave.
+    fn recall(&self, id: QueryId) {
+        let number = self.open.borrow().get(&id).and_then(|o| o.out.as_ref()).map(|out| out.number);
+        if let Some(number) = number.filter(|_| self.engines.recall(id)) {
+            let outcome = Outcome::Superseded;
+            self.ended(AttemptEnd { query: id, number, outcome, cost: None, pages: Vec::new() });
         }
     }
 }
@@ -311,50 +330,6 @@
     Event::Ended(Ended { query, attempt, engine, outcome, settled, elapsed, cost, load: Load::default() })
 }
 
-impl Intake for Dispatch {
-    fn submit(&self, exchange: &Rc<Exchange>) -> bool {
-        let id = exchange.request.query.id;
-        if !self.may_send() {
-            exchange.settle(Answer::Stale);
-            return true;
-        }
-        let mut open = self.open.borrow_mut();
-        // An engine that meets an id again takes it for a further attempt of the first request, whose turn and
-        // whose answer have passed.
-        if open.contains_key(&id) || self.spent.borrow().ids.contains(&id) {
-            return false;
-        }
-        let query = exchange.request.query.clone();
-        let effect = self.effects.get(query.class as usize).copied().unwrap_or_default();
-        let exchange = Rc::clone(exchange);
-        let time_left = exchange.request.deadline().saturating_sub(self.clock.now());
-        open.insert(
-            id,
-            Open { exchange, effect, answered: false, attempts: 0, level: None, grant_mb: 0, out: None },
-        );
-        drop(open);
-        self.events.borrow_mut().push_back(Event::Arrived(NewQuery { time_left, ..query }));
-        self.run();
-        true
-    }
-
-    fn withdraw(&self, query: QueryId) {
-        let mut open = self.open.borrow_mut();
-        let Some(o) = open.get_mut(&query).filter(|o| !o.answered) else { return };
-        o.answered = true;
-        if o.out.is_none() {
-            self.strike(&mut open, query);
-        }
-        drop(open);
-        self.events.borrow_mut().push_back(Event::ClientGone { query });
-        self.run();
-    }
-
-    fn now(&self) -> Micros {
-        self.clock.now()
-    }
-}
-
 impl Reports for Dispatch {
     fn noted(&self, query: QueryId, number: u32, news: Progress) {
         let out = self.open.borrow().get(&query).and_then(|o| o.out.as_ref().map(|out| out.number));
@@ -368,6 +343,9 @@
         let mut open = self.open.borrow_mut();
         let Some(o) = open.get_mut(&end.query) else { return };
         let Some(out) = o.out.take_if(|out| out.number == end.number) else { return };
+        if !matches!(end.outcome, Outcome::Saturated | Outcome::Refused | Outcome::Superseded) {
+            o.first = o.first.or(Some(out.sent));
+        }
         self.timers.borrow_mut().remove(&(out.until, Due::Overdue(end.query, end.number)));
         if end.outcome == Outcome::Completed && !std::mem::replace(&mut o.answered, true) {
             let served = Served { pages: end.pages, query: end.query, attempt: end.number };
@@ -386,5 +364,5 @@
 }
 
 #[cfg(test)]
-#[allow(clippy::unwrap_used)]
+#[allow(clippy::unwrap_used, clippy::indexing_slicing)]
 mod tests;
--- a/violetgate/src/dispatch/tests.rs
+++ b/violetgate/src/dispatch/tests.rs
@@ -6,9 +6,10 @@
 use futures_lite::FutureExt;
 use linnetreach::interface::{Class, Engine, EngineState, Kind};
 
-/// An engine side that notes what it is told and ends nothing by itself.
+/// An engine side that notes what it is told and ends nothing by itself: the notes, whether its fence is shut, whether
+/// what it has still waits for a connection, and by when attempts had to begin.
 #[derive(Default)]
-struct Notes(RefCell<Vec<String>>, Cell<bool>);
+struct Notes(RefCell<Vec<String>>, Cell<bool>, Cell<bool>, RefCell<Vec<Micros>>);
 
 impl Fence for Notes {
     fn is_open(&self) -> bool {
@@ -19,6 +20,7 @@
 impl Engines for Notes {
     fn send(&self, a: Attempt) {
         let id = a.exchange.request.query.id;
+        self.3.borrow_mut().push(a.begin_by);
         let grant = if a.grant_mb > 0 { format!(" with {}", a.grant_mb) } else { String::new() };
         self.0.borrow_mut().push(format!("send {id}.{} to {}{grant}", a.number, a.engine));
     }
@@ -26,6 +28,10 @@
         self.0.borrow_mut().push(format!("cancel {query}"));
         true
     }
+    fn recall(&self, query: QueryId) -> bool {
+        self.0.borrow_mut().push(format!("recall {query}"));
+        self.2.get()
+    }
     fn weigh(&self, query: QueryId, level: u8) {
         self.0.borrow_mut().push(format!("weigh {query} {level}"));
     }
@@ -42,8 +48,11 @@
 }
 
 fn with(engines: u32, more: Settings) -> (Rc<Dispatch>, Rc<Notes>) {
-    let class =
-        Class { deadline: Some(60_000_000), aim: Some(60_000_000), worth: Some(1.0), ..Class::default() };
+    of_class(engines, Class::default(), more)
+}
+
+fn of_class(engines: u32, class: Class, more: Settings) -> (Rc<Dispatch>, Rc<Notes>) {
+    let class = Class { deadline: Some(60_000_000), aim: Some(60_000_000), worth: Some(1.0), ..class };
     let settings = Settings {
         gateways: Some(1),
         classes: vec![class],
@@ -233,3 +242,50 @@
     d.noted(1, 0, Progress::WaitsForMemory);
     assert!(sends(&d) == 2 && notes.0.borrow().iter().any(|n| n == "cancel 1"), "{:?}", notes.0.borrow());
 }
+
+/// What waits for a connection when its client leaves never begins, whatever its class: where an attempt may not be
+/// withdrawn, it went out once its connection came up, to run for nobody. One that has begun is left to the module.
+#[test]
+fn what_waits_for_a_connection_ends_with_its_client() {
+    for effect in [Effect::Idempotent, Effect::Deduplicated, Effect::AtMostOnce] {
+        for waits in [true, false] {
+            let (d, notes) = of_class(1, Class { effect, ..Class::default() }, Settings::default());
+            notes.2.set(waits);
+            let exchange = ask(&d, 1, 60_000_000);
+            d.withdraw(1);
+            let taken_back = notes.0.borrow().iter().any(|n| n == "cancel 1" || n == "recall 1");
+            let over = d.open.borrow().is_empty();
+            assert!(taken_back && answer(&exchange).is_none(), "{effect:?} {waits}: {:?}", notes.0.borrow());
+            assert!(over || !waits, "{effect:?}: it goes on waiting");
+            assert!(over || effect != Effect::Idempotent, "{waits}: one that may be repeated is withdrawn");
+        }
+    }
+}
+
+/// The same as an answer is given up: nothing begins for a query that has its answer.
+#[test]
+fn what_waits_for_a_connection_ends_with_its_answer() {
+    let (d, notes) =
+        of_class(1, Class { effect: Effect::AtMostOnce, ..Class::default() }, Settings::default());
+    notes.2.set(true);
+    let exchange = ask(&d, 1, 60_000_000);
+    d.carry_out(Action::Fail { query: 1 });
+    assert!(matches!(answer(&exchange), Some(Answer::Failed)) && d.open.borrow().is_empty());
+    assert_eq!(notes.0.borrow().last().unwrap(), "recall 1");
+}
+
+/// A repeat that waits for its connection must not begin once engines have forgotten its first attempt: it would run a
+/// second time. The window counts from the first attempt that may have run.
+#[test]
+fn a_repeat_begins_within_the_deduplication_window() {
+    let window = Some(2_000_000);
+    let class = Class { effect: Effect::Deduplicated, dedup_window: window, ..Class::default() };
+    let (d, notes) = of_class(3, class, Settings::default());
+    let exchange = ask(&d, 1, 30_000_000);
+    d.ended(end(1, 0, Outcome::Refused));
+    let before = d.now();
+    d.ended(end(1, 1, Outcome::Severed));
+    let by = notes.3.borrow().clone();
+    assert_eq!(by[..2], [exchange.request.deadline(); 2], "nothing has run: only the deadline counts");
+    assert!(by[2] <= before + 2_000_000 && by[2] >= exchange.request.received + 2_000_000, "{by:?}");
+}
--- a/violetgate/src/engine/conn.rs
+++ b/violetgate/src/engine/conn.rs
@@ -154,11 +154,26 @@
         }
     }
 
+    /// Whether some of a request has been written.
+    pub fn has_begun(&self, id: QueryId) -> bool {
+        self.state.borrow().open.get(&id).is_some_and(|s| s.written)
+    }
+
     /// Takes back every request of which nothing was written: the engine wants no more, and one that left
     /// late would break the rule on drains.
     pub fn take_unwritten(&self) -> Vec<End> {
+        self.take_back(|_| true)
+    }
+
+    /// Takes back every request of which nothing was written by the time when it had to begin.
+    pub fn take_late(&self, now: Micros) -> Vec<End> {
+        self.take_back(|attempt| now >= attempt.begin_by)
+    }
+
+    fn take_back(&self, which: impl Fn(&Attempt) -> bool) -> Vec<End> {
+        let late = |s: &Slot| !s.written && which(&s.attempt);
         let ids: Vec<_> =
-            self.state.borrow().open.iter().filter(|(_, s)| !s.written).map(|(id, _)| *id).collect();
+            self.state.borrow().open.iter().filter(|(_, s)| late(s)).map(|(id, _)| *id).collect();
         let number = |id: QueryId| self.state.borrow().open.get(&id).map(|s| s.attempt.number);
         let mut ends = Vec::new();
         for id in ids {
@@ -169,7 +184,7 @@
     }
 
     /// Writes as much as the socket takes. An error means that the connection is lost.
-    pub fn flush(&self) -> Result<(), &'static str> {
+    pub fn flush(&self, now: Micros) -> Result<(), &'static str> {
         let mut guard = self.state.borrow_mut();
         let s = &mut *guard;
         let Some(stream) = s.stream.clone() else { return Ok(()) };
@@ -189,7 +204,7 @@
                     Some(Command::Line(line)) => s.writing.extend_from_slice(line.as_bytes()),
                     Some(Command::Serve(id, number)) => {
                         if let Some(slot) = s.open.get(&id).filter(|slot| slot.attempt.number == number) {
-                            encode(&mut s.writing, &slot.attempt);
+                            encode(&mut s.writing, &slot.attempt, now);
                             (s.starts, s.attempt) = (Some(id), true);
                         }
                     }
@@ -341,9 +356,10 @@
             .all(|row| row.iter().filter(|b| **b == b'\t').count() == 2 && !row.contains(&0))
 }
 
-fn encode(out: &mut Vec<u8>, attempt: &Attempt) {
+fn encode(out: &mut Vec<u8>, attempt: &Attempt, now: Micros) {
     let request = &attempt.exchange.request;
-    let mut fields = format!("sort={},patience={}", request.class, attempt.patience.div_ceil(1000));
+    let patience = attempt.until.saturating_sub(now).div_ceil(1000);
+    let mut fields = format!("sort={},patience={patience}", request.class);
     if let Some(token) = &request.token {
         fields.push_str(",op=");
         fields.push_str(token);
--- a/violetgate/src/engine/conn/tests.rs
+++ b/violetgate/src/engine/conn/tests.rs
@@ -20,7 +20,8 @@
         engine: 3,
         level: Some(2),
         grant_mb: 0,
-        patience: 1_500,
+        begin_by: 1_500,
+        until: 1_500,
     }
 }
 
@@ -35,7 +36,7 @@
     let conn = conn();
     (1..=3).for_each(|id| conn.serve(attempt(id), 0));
     assert!(!conn.cancel(1, 0), "given up before it was written");
-    conn.flush().unwrap();
+    conn.flush(0).unwrap();
     let mut ends: Vec<_> = conn.take_unwritten().into_iter().map(|e| (e.0, e.2)).collect();
     ends.sort_unstable_by_key(|e| e.0);
     assert_eq!(ends, [(2, Outcome::Superseded), (3, Outcome::Superseded)]);
@@ -57,10 +58,10 @@
     conn.up(Rc::new(Async::new(stream).unwrap()));
     conn.serve(attempt(1), 0);
     conn.serve(attempt(2), 0);
-    conn.flush().unwrap();
+    conn.flush(0).unwrap();
     conn.weigh(1, 3);
     assert!(conn.cancel(1, 0));
-    conn.flush().unwrap();
+    conn.flush(0).unwrap();
     assert!(conn.retired.get());
     let ends: Vec<_> = conn.end("reset").0.into_iter().map(|e| (e.0, e.2)).collect();
     assert_eq!(ends, [(2, Outcome::Severed)]);
@@ -164,7 +165,7 @@
 fn a_grant_is_written() {
     let fields = |grant_mb| {
         let mut out = Vec::new();
-        encode(&mut out, &Attempt { grant_mb, ..attempt(1) });
+        encode(&mut out, &Attempt { grant_mb, ..attempt(1) }, 0);
         String::from_utf8(out).unwrap()
     };
     assert!(fields(384).contains("patience=2,reserve=384,level=2 8\r\n"), "{}", fields(384));
--- a/violetgate/src/engine/pool.rs
+++ b/violetgate/src/engine/pool.rs
@@ -146,12 +146,15 @@
         self.fence.as_ref().is_none_or(|f| f.is_open())
     }
 
-    /// Writes what the socket takes, but no request that was queued before the fence was shut.
+    /// Writes what the socket takes, but no request that was queued before the fence was shut, or that waited too
+    /// long for its connection.
     fn write(&self, conn: &Conn) -> Result<(), &'static str> {
-        if conn.is_up() && !self.may_send() {
-            self.report(conn.take_unwritten());
+        let now = self.clock.now();
+        if conn.is_up() {
+            let all = !self.may_send();
+            self.report(if all { conn.take_unwritten() } else { conn.take_late(now) });
         }
-        conn.flush()
+        conn.flush(now)
     }
 
     fn flush(&self, conn: &Rc<Conn>) {
@@ -310,6 +313,11 @@
         written
     }
 
+    fn recall(&self, query: QueryId) -> bool {
+        let waits = self.at.borrow().get(&query).is_some_and(|conn| !conn.has_begun(query));
+        waits && !self.cancel(query)
+    }
+
     fn weigh(&self, query: QueryId, level: u8) {
         let conn = self.at.borrow().get(&query).cloned();
         if let Some(conn) = conn {
--- a/violetgate/src/engine/pool/tests.rs
+++ b/violetgate/src/engine/pool/tests.rs
@@ -1,8 +1,10 @@
-//! Which connection an attempt gets, without sockets.
+//! Which connection an attempt gets, and what of one that may not begin any more.
 
 use super::*;
 use crate::exchange::{Exchange, Request};
 use linnetreach::interface::{Engine, NewQuery, Progress};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener};
 
 #[derive(Default)]
 struct Ends(RefCell<Vec<(QueryId, Outcome)>>);
@@ -16,6 +18,10 @@
 
 /// A pool with one listed engine. Its tasks are never run, so its connections stay as the test has them.
 fn pool(most: usize) -> (Rc<Pool>, Rc<Ends>) {
+    pool_at(([127, 0, 0, 1], 1).into(), most)
+}
+
+fn pool_at(addr: SocketAddr, most: usize) -> (Rc<Pool>, Rc<Ends>) {
     let link = Link {
         connect_timeout: Duration::from_secs(60),
         idle_close: Duration::from_secs(60),
@@ -28,11 +34,15 @@
     let reports: Rc<dyn Reports> = Rc::<Ends>::clone(&ends);
     pool.report_to(Rc::downgrade(&reports));
     let engine = Engine { id: 0, zone: 0, kind: 0, cell: 0, state: EngineState::Ready, started: None };
-    pool.list(ListScope::Whole, &[Listed { engine, addr: ([127, 0, 0, 1], 1).into() }]);
+    pool.list(ListScope::Whole, &[Listed { engine, addr }]);
     (pool, ends)
 }
 
 fn send(pool: &Pool, id: QueryId) {
+    send_by(pool, id, Micros::MAX);
+}
+
+fn send_by(pool: &Pool, id: QueryId, begin_by: Micros) {
     let query = NewQuery { id, time_left: 1_000_000, ..NewQuery::default() };
     let request = Request {
         query,
@@ -43,7 +53,60 @@
         statement: b"SELECT 1".as_slice().into(),
     };
     let exchange = Exchange::new(request);
-    pool.send(Attempt { exchange, number: 0, engine: 0, level: None, grant_mb: 0, patience: 1_000_000 });
+    pool.send(Attempt {
+        exchange,
+        number: 0,
+        engine: 0,
+        level: None,
+        grant_mb: 0,
+        begin_by,
+        until: Micros::MAX,
+    });
+}
+
+/// An engine that the test plays itself, and the pool before it.
+struct Played {
+    pool: Rc<Pool>,
+    ends: Rc<Ends>,
+    listener: TcpListener,
+}
+
+impl Played {
+    fn new(most: usize) -> Self {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
+        let (pool, ends) = pool_at(listener.local_addr().unwrap(), most);
+        Played { pool, ends, listener }
+    }
+
+    /// Lets the pool run until something holds.
+    fn until(&self, what: &str, mut holds: impl FnMut() -> bool) {
+        let end = Instant::now() + Duration::from_secs(30);
+        async_io::block_on(self.pool.executor.run(async {
+            while !holds() {
+                assert!(Instant::now() < end, "never: {what}");
+                future::yield_now().await;
+            }
+        }));
+    }
+
+    /// Takes a connection, and one command from it.
+    fn serves(&self) -> (TcpStream, String) {
+        let (mut accepted, mut got) = (None, Vec::new());
+        self.listener.set_nonblocking(true).unwrap();
+        self.until("a connection comes", || {
+            accepted = self.listener.accept().ok();
+            accepted.is_some()
+        });
+        let (mut stream, _) = accepted.unwrap();
+        stream.set_nonblocking(true).unwrap();
+        self.until("a command comes", || {
+            let mut chunk = [0; 512];
+            let n = stream.read(&mut chunk).unwrap_or(0);
+            got.extend_from_slice(&chunk[..n]);
+            got.ends_with(b"SELECT 1\r\n")
+        });
+        (stream, String::from_utf8(got).unwrap())
+    }
 }
 
 /// Each attempt has a connection of its own while there is room; then the least loaded is shared.
@@ -88,3 +151,28 @@
     pool.end(&last(), "connect_refused");
     assert_eq!(ends.0.take(), [(2, Outcome::Refused)]);
 }
+
+/// Its connection comes up late: an attempt that had to begin before is not written, and surely never ran.
+#[test]
+fn an_attempt_that_waited_too_long_does_not_begin() {
+    let engine = Played::new(3);
+    send_by(&engine.pool, 1, 0);
+    engine.until("it ends", || engine.ends.0.borrow().len() == 1);
+    assert_eq!(engine.ends.0.take(), [(1, Outcome::Superseded)]);
+    send(&engine.pool, 2);
+    let (_stream, got) = engine.serves();
+    assert!(got.starts_with("serve 0000000000000002 "), "the first was never written: {got}");
+}
+
+/// Taken back while it waits for its connection, an attempt never begins, and nothing is told of it; one that has begun
+/// stays.
+#[test]
+fn only_what_has_not_begun_is_recalled() {
+    let engine = Played::new(3);
+    send(&engine.pool, 1);
+    assert!(engine.pool.recall(1), "it waits for its connection");
+    send(&engine.pool, 2);
+    let (_stream, got) = engine.serves();
+    assert!(got.starts_with("serve 0000000000000002 "), "{got}");
+    assert!(!engine.pool.recall(2) && !engine.pool.recall(1) && engine.ends.0.borrow().is_empty());
+}
--- a/violetgate/src/exchange.rs
+++ b/violetgate/src/exchange.rs
@@ -165,8 +165,10 @@
     pub level: Option<u8>,
     /// Memory granted, in MB; 0 leaves it to the engine.
     pub grant_mb: u64,
-    /// How long it may take.
-    pub patience: Micros,
+    /// By when it may begin: later, nothing of it may be written any more.
+    pub begin_by: Micros,
+    /// By when it has to end.
+    pub until: Micros,
 }
 
 /// The end of an attempt that the engine side saw.
@@ -207,6 +209,8 @@
     fn send(&self, attempt: Attempt);
     /// Gives an attempt up; nothing more is told of it. False: the engine surely never saw it.
     fn cancel(&self, query: QueryId) -> bool;
+    /// Takes an attempt back of which nothing was written yet; nothing more is told of it. False: it has begun.
+    fn recall(&self, query: QueryId) -> bool;
     /// Sets the priority of an attempt that is out.
     fn weigh(&self, query: QueryId, level: u8);
     /// Nothing more to an engine; attempts not yet written to it end as never sent. Or it may be used again, and
