Answer what is read after the end began at once, instead of sending it to be cut

Cause, from reading serve.rs: Dispatch::close answers what is open 0.3 s before SIGKILL; what is read after it was still submitted and sent, and cut by the exit 0.2 s later: lost, and run for nobody. Change: Dispatch::closed; Intake::submit answers 57P03 at once from then on. Measured: nothing_begins_once_the_process_ends, red without the two lines in intake.rs.

--- a/violetgate/src/dispatch.rs
+++ b/violetgate/src/dispatch.rs
@@ -62,6 +62,8 @@
     /// Whether anything may be sent, where that is not always so.
     fence: Option<Rc<dyn Fence>>,
     turned_away: Cell<u64>,
+    /// The process ends, and takes nothing any more.
+    closed: Cell<bool>,
     open: RefCell<HashMap<QueryId, Open>>,
     spent: RefCell<Spent>,
     events: RefCell<VecDeque<Event>>,
@@ -88,6 +90,7 @@
             engines,
             fence,
             turned_away: Cell::new(0),
+            closed: Cell::new(false),
             open: RefCell::default(),
             spent: RefCell::default(),
             events: RefCell::new(VecDeque::from([Event::Woke])),
@@ -128,7 +131,10 @@
 
     /// Gives every request still open its answer, as the process ends: a refusal where the class lets it
     /// be repeated, else a failure.
+    ///
+    /// What is read later is answered so at once: begun now, it would be cut by the end.
     pub fn close(&self) {
+        self.closed.set(true);
         self.turn_away(&Answer::Closing, |_| true);
     }
 
--- a/violetgate/src/dispatch/intake.rs
+++ b/violetgate/src/dispatch/intake.rs
@@ -6,6 +6,10 @@
 impl Intake for Dispatch {
     fn submit(&self, exchange: &Rc<Exchange>) -> bool {
         let id = exchange.request.query.id;
+        if self.closed.get() {
+            exchange.settle(Answer::Closing);
+            return true;
+        }
         if !self.may_send() {
             exchange.settle(Answer::Stale);
             return true;
--- a/violetgate/src/dispatch/tests.rs
+++ b/violetgate/src/dispatch/tests.rs
@@ -289,3 +289,15 @@
     assert_eq!(by[..2], [exchange.request.deadline(); 2], "nothing has run: only the deadline counts");
     assert!(by[2] <= before + 2_000_000 && by[2] >= exchange.request.received + 2_000_000, "{by:?}");
 }
+
+/// As the process ends, what is open is answered, and what is read later too: begun, it would be cut by the end.
+#[test]
+fn nothing_begins_once_the_process_ends() {
+    let (d, notes) = dispatch(1);
+    let first = ask(&d, 1, 60_000_000);
+    d.close();
+    let second = ask(&d, 2, 60_000_000);
+    assert!(matches!(answer(&first), Some(Answer::Closing)));
+    assert!(matches!(answer(&second), Some(Answer::Closing)));
+    assert!(!notes.0.borrow().iter().any(|n| n.starts_with("send 2")));
+}
