Use no engine connection whose close is here unread

Cause, from reading pool.rs, pick: an idle connection that its engine has just closed looked as good as any; the attempt was written into the close and ended as Severed, one that may have run: for a class unsafe to repeat a lost request, for others one of the ration. Change: Conn::is_closing peeks, the most recently used connection at rest that shows neither end nor bytes is taken; a full pool shares only connections that carry something. Measured: an_attempt_avoids_a_connection_that_was_just_closed, red without the check; a connection at rest that is well is still used again.

--- a/violetgate/src/engine/conn.rs
+++ b/violetgate/src/engine/conn.rs
@@ -98,6 +98,13 @@
         self.state.borrow().open.len()
     }
 
+    /// Its engine has closed it, or has said something while nothing was asked: that is read next.
+    pub fn is_closing(&self) -> bool {
+        let state = self.state.borrow();
+        let said = state.stream.as_ref().map(|stream| stream.get_ref().peek(&mut [0]));
+        said.is_some_and(|said| !matches!(said, Err(e) if e.kind() == ErrorKind::WouldBlock))
+    }
+
     pub fn is_up(&self) -> bool {
         self.state.borrow().stream.is_some()
     }
--- a/violetgate/src/engine/pool.rs
+++ b/violetgate/src/engine/pool.rs
@@ -189,13 +189,15 @@
                 && c.load() < self.link.streams
                 && !trail.contains(&c.id)
         };
-        if let Some(conn) =
-            conns.values().filter(fits).filter(|c| c.load() == 0).max_by_key(|c| c.idle_since.get())
-        {
+        let mut resting: Vec<_> = conns.values().filter(fits).filter(|c| c.load() == 0).collect();
+        resting.sort_by_key(|c| std::cmp::Reverse(c.idle_since.get()));
+        // One that its engine has just closed would take the attempt along: it might have run.
+        if let Some(conn) = resting.into_iter().find(|c| !c.is_closing()) {
             return Some(Rc::clone(conn));
         }
         if conns.len() >= self.most.get() {
-            if let Some(conn) = conns.values().filter(fits).min_by_key(|c| c.load()) {
+            let shared = conns.values().filter(fits).filter(|c| c.load() > 0);
+            if let Some(conn) = shared.min_by_key(|c| c.load()) {
                 return Some(Rc::clone(conn));
             }
             let idle = conns.values().filter(|c| c.load() == 0).min_by_key(|c| c.idle_since.get()).cloned();
--- a/violetgate/src/engine/pool/tests.rs
+++ b/violetgate/src/engine/pool/tests.rs
@@ -152,6 +152,34 @@
     assert_eq!(ends.0.take(), [(2, Outcome::Refused)]);
 }
 
+/// An engine closes a connection at rest, and its close is here, unread, as the next attempt leaves: it takes a new
+/// connection. Written to the old one it would be lost in the reset, and count as one that may have run.
+#[test]
+fn an_attempt_avoids_a_connection_that_was_just_closed() {
+    let engine = Played::new(3);
+    send(&engine.pool, 1);
+    let (mut first, _) = engine.serves();
+    first.write_all(b"0000000000000001 refused - 0\r\n\r\n").unwrap();
+    engine.until("it ends", || engine.ends.0.borrow().len() == 1);
+    drop(first);
+    send(&engine.pool, 2);
+    let (_second, got) = engine.serves();
+    assert!(got.starts_with("serve 0000000000000002 "), "{got}");
+    assert_eq!(engine.ends.0.take(), [(1, Outcome::Saturated)]);
+}
+
+/// A connection at rest that is well is used again, whatever its age.
+#[test]
+fn a_connection_at_rest_is_used_again() {
+    let engine = Played::new(3);
+    send(&engine.pool, 1);
+    let (mut first, _) = engine.serves();
+    first.write_all(b"0000000000000001 refused - 0\r\n\r\n").unwrap();
+    engine.until("it ends", || engine.ends.0.borrow().len() == 1);
+    send(&engine.pool, 2);
+    assert_eq!(engine.pool.conns.borrow().len(), 1);
+}
+
 /// Its connection comes up late: an attempt that had to begin before is not written, and surely never ran.
 #[test]
 fn an_attempt_that_waited_too_long_does_not_begin() {
