See a client's leaving or cancel before its query begins, and close without a reset

Cause, from reading client/session.rs and one.rs, each shown by a test that forces the order: - serve_request cleared the cancel flag as it read the query, so a CancelRequest read before its query was lost; - a close in the socket was seen only after the first attempt had gone out, and behind 16 KiB read ahead never; - in a full room a new connection was turned away unread: a CancelRequest was dropped, the error could be lost in the reset; - idle, evicted and drained sessions were dropped over what was not read, and what stood behind the last answer with them; - lingering closes were not counted: a crowd of them could use up the descriptors, and accept then failed for ever. Ruled out: a pipelined query of a client that left (its session ends first), keyed queries (Keyed::leave withdraws). Change: Session::hear reads what is here before a query begins and before a session is sent home; poll for a hang-up where no more is read ahead; a cancel counts for the query that is open or waits in the socket; the start-up packet is read for 0.25 s before a connection is turned away; every close by us ends its writing side and reads on, in one place of eight at most; a failed accept lets an idle connection give way and is told once.

--- a/violetgate/src/client/session.rs
+++ b/violetgate/src/client/session.rs
@@ -2,8 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::future::{pending, poll_fn};
-use std::io::{Read, Write};
+use std::future::poll_fn;
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::task::{Poll, Waker};
@@ -22,7 +22,7 @@
 use crate::exchange::{Answer, Exchange, Intake, Request};
 use crate::log;
 use crate::net;
-use crate::room::{Guest, Room, Stage};
+use crate::room::{Guest, Room, Stage, FRESH};
 use crate::stats::{Ending, Stats};
 
 mod one;
@@ -39,10 +39,16 @@
 const STALLED: Duration = Duration::from_secs(10);
 /// Bytes read ahead while a request is open.
 const READ_AHEAD: usize = 16 * 1024;
-/// How often idle connections are looked at while they have to end.
+/// How often idle connections are looked at while they have to end, and whether a client that sent more than is read
+/// ahead is still there.
 const LOOK: Duration = Duration::from_millis(20);
 /// The pause after the machine gave no connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// How long a connection for which there is no room may take over its start-up packet.
+const TURNED_AWAY: Duration = Duration::from_millis(250);
+/// Ends that came from the client: it reads nothing more.
+const BY_CLIENT: [Reason; 7] =
+    ["closed", "left", "reset", "terminated", "cancel_request", "stalled", "startup_timeout"];
 
 /// Why a connection ended; the log's reason code.
 type Reason = &'static str;
@@ -50,8 +56,19 @@
 /// What a CancelRequest reaches of a session.
 struct Key {
     secret: u32,
+    /// The query at hand, or the one that is here and not yet read, is cancelled.
     cancelled: Cell<bool>,
     waker: RefCell<Option<Waker>>,
+    guest: Rc<Guest>,
+    stream: Rc<Async<TcpStream>>,
+}
+
+impl Key {
+    /// Whether there is a query that a cancel can mean: one that is open, or one that waits in the socket to be read.
+    /// A cancel that comes between queries meant an earlier one.
+    fn has_query(&self) -> bool {
+        !self.guest.is_idle() || matches!(self.stream.get_ref().peek(&mut [0]), Ok(n) if n > 0)
+    }
 }
 
 /// All client connections.
@@ -108,12 +125,23 @@
         loop {
             let now = self.intake.now();
             if let Some(reason) = self.door.sends_home(now) {
-                self.room.dismiss_idle(now, reason);
+                self.room.dismiss_idle(now, FRESH, reason);
             }
             Timer::after(LOOK).await;
         }
     }
 
+    /// Connections that are just being closed.
+    #[must_use]
+    pub fn closing(&self) -> usize {
+        self.room.being_closed()
+    }
+
+    /// Sends all that are idle home at once.
+    pub fn dismiss(&self, reason: &'static str) {
+        self.room.dismiss_idle(self.intake.now(), 0, reason);
+    }
+
     /// Requests read whole whose answer is not yet written.
     #[must_use]
     pub fn busy(&self) -> usize {
@@ -122,11 +150,20 @@
 
     /// Takes connections for ever.
     pub async fn listen(self: Rc<Self>, listener: Rc<Async<TcpListener>>) {
+        let mut told = None;
         loop {
             match listener.accept().await {
-                Ok((stream, peer)) => self.welcome(stream, peer),
+                Ok((stream, peer)) => {
+                    told = None;
+                    self.welcome(stream, peer);
+                }
                 Err(e) => {
-                    log::line(format_args!("client accept failed: {e}"));
+                    // The same failure again is not told. Where descriptors have run out, whoever else took them, one
+                    // that is idle gives way.
+                    if told.replace(e.kind()) != Some(e.kind()) {
+                        log::line(format_args!("client accept failed: {e}"));
+                    }
+                    self.room.give_way(self.intake.now());
                     Timer::after(ACCEPT_PAUSE).await;
                 }
             }
@@ -149,16 +186,61 @@
     fn welcome(self: &Rc<Self>, stream: Async<TcpStream>, peer: SocketAddr) {
         match self.room.enter(self.intake.now()) {
             Some(guest) => self.executor.spawn(Rc::clone(self).drive(stream, peer, guest)).detach(),
-            None => turn_away(&stream, peer),
+            None => self.executor.spawn(Rc::clone(self).turn_away(stream, peer)).detach(),
+        }
+    }
+
+    /// Every connection has a request open. A new one gets its error once its start-up packet is read, since a close
+    /// over unread bytes may take the error along; a CancelRequest is heard all the same, as it frees a place.
+    async fn turn_away(self: Rc<Self>, stream: Async<TcpStream>, peer: SocketAddr) {
+        let _ = stream.get_ref().set_nodelay(true);
+        let closing = self.room.closing();
+        let mut input = Vec::new();
+        let startup = async {
+            loop {
+                match codec::startup(&input) {
+                    Ok(Some((Startup::Cancel(pid, secret), _))) => return Some((pid, secret)),
+                    Ok(Some((Startup::Encryption, size))) => {
+                        input.drain(..size);
+                        let _ = stream.get_ref().write(b"N");
+                    }
+                    Ok(None) => {
+                        let mut chunk = [0u8; 512];
+                        match stream.read_with(|mut s| s.read(&mut chunk)).await {
+                            Ok(n) if n > 0 => input.extend_from_slice(chunk.get(..n).unwrap_or_default()),
+                            _ => return None,
+                        }
+                    }
+                    _ => return None,
+                }
+            }
+        };
+        let late = async {
+            // Where many are just being closed, what is here has to do.
+            Timer::after(if closing.is_some() { TURNED_AWAY } else { Duration::ZERO }).await;
+            None
+        };
+        if let Some((pid, secret)) = startup.or(late).await {
+            self.cancel(pid, secret);
+            return log::ended("client", peer, "cancel_request", 0);
         }
+        let mut output = Vec::new();
+        codec::error(&mut output, "FATAL", "53300", "sorry, too many clients already", None);
+        // One write, which an empty socket takes whole.
+        let _ = stream.get_ref().write(&output);
+        if closing.is_some() {
+            net::linger(&stream).await;
+        }
+        log::ended("client", peer, "too_many", 0);
     }
 
     async fn drive(self: Rc<Self>, stream: Async<TcpStream>, peer: SocketAddr, guest: Rc<Guest>) {
         let _ = stream.get_ref().set_nodelay(true);
+        let stream = Rc::new(stream);
         let mut session = Session {
             sessions: &self,
             guest: &guest,
-            stream,
+            stream: Rc::clone(&stream),
             input: Vec::new(),
             read_at: 0,
             output: Vec::new(),
@@ -175,18 +257,25 @@
             self.keys.borrow_mut().remove(&pid);
         }
         self.room.leave(&guest);
+        // What a client sends just then must not turn the close into a reset, which may take its last answer along.
+        // It is not served any more: it crossed the close, and its client tries elsewhere.
+        let closing = self.room.closing().filter(|_| !BY_CLIENT.contains(&reason));
+        if closing.is_some() {
+            net::linger(&stream).await;
+        }
+        drop(stream);
         log::ended("client", peer, reason, requests);
     }
 
-    fn new_key(&self) -> (u32, Rc<Key>) {
+    fn new_key(&self, guest: &Rc<Guest>, stream: &Rc<Async<TcpStream>>) -> (u32, Rc<Key>) {
         let mut rng = self.rng.borrow_mut();
         let mut keys = self.keys.borrow_mut();
         loop {
             let pid = rng.next_u32() >> 1;
             if pid != 0 && !keys.contains_key(&pid) {
-                let key =
-                    Key { secret: rng.next_u32(), cancelled: Cell::new(false), waker: RefCell::default() };
-                let key = Rc::new(key);
+                let (cancelled, waker) = (Cell::new(false), RefCell::default());
+                let (guest, stream) = (Rc::clone(guest), Rc::clone(stream));
+                let key = Rc::new(Key { secret: rng.next_u32(), cancelled, waker, guest, stream });
                 keys.insert(pid, Rc::clone(&key));
                 return (pid, key);
             }
@@ -195,7 +284,7 @@
 
     fn cancel(&self, pid: u32, secret: u32) {
         let keys = self.keys.borrow();
-        if let Some(key) = keys.get(&pid).filter(|k| k.secret == secret) {
+        if let Some(key) = keys.get(&pid).filter(|k| k.secret == secret && k.has_query()) {
             key.cancelled.set(true);
             if let Some(waker) = key.waker.borrow_mut().take() {
                 waker.wake();
@@ -204,15 +293,6 @@
     }
 }
 
-/// Every connection has a request open: a new one gets its error at once, in one write that its empty socket
-/// takes whole, and is closed.
-fn turn_away(stream: &Async<TcpStream>, peer: SocketAddr) {
-    let mut output = Vec::new();
-    codec::error(&mut output, "FATAL", "53300", "sorry, too many clients already", None);
-    let _ = stream.get_ref().write(&output);
-    log::ended("client", peer, "too_many", 0);
-}
-
 /// Counts a request as busy until its answer is written, whichever way that ends.
 struct Busy<'a>(&'a Cell<usize>);
 
@@ -228,3 +308,7 @@
         self.0.set(self.0.get() - 1);
     }
 }
+
+#[cfg(test)]
+#[allow(clippy::unwrap_used, clippy::panic, clippy::indexing_slicing)]
+mod tests;
--- a/violetgate/src/client/session/one.rs
+++ b/violetgate/src/client/session/one.rs
@@ -4,8 +4,8 @@
 
 pub(super) struct Session<'a> {
     pub(super) sessions: &'a Rc<Sessions>,
-    pub(super) guest: &'a Guest,
-    pub(super) stream: Async<TcpStream>,
+    pub(super) guest: &'a Rc<Guest>,
+    pub(super) stream: Rc<Async<TcpStream>>,
     pub(super) input: Vec<u8>,
     /// When the last bytes were read.
     pub(super) read_at: u64,
@@ -23,7 +23,7 @@
 
 impl Session<'_> {
     pub(super) async fn serve(&mut self) -> Result<std::convert::Infallible, Reason> {
-        let guest = self.guest;
+        let guest = Rc::clone(self.guest);
         let late = async {
             Timer::after(STARTUP).await;
             Err("startup_timeout")
@@ -64,12 +64,16 @@
                     };
                     self.input.drain(..size);
                     if skipping {
+                        self.is_cancelled();
                         continue;
                     }
                     self.query(&sql).await?;
-                    let reason = self.sessions.door.sends_home(self.sessions.intake.now());
-                    if let Some(reason) = reason.filter(|_| self.input.is_empty()) {
-                        return Err(reason);
+                    if let Some(reason) = self.sessions.door.sends_home(self.sessions.intake.now()) {
+                        // What is here already is served first.
+                        self.hear()?;
+                        if self.input.is_empty() {
+                            return Err(reason);
+                        }
                     }
                     future::yield_now().await;
                     continue;
@@ -93,6 +97,7 @@
                 _ => {}
             }
             self.input.drain(..size);
+            self.is_cancelled(); // what came while this was read meant it
             self.write().await?;
             // A client that sends without end always has more to read: the others come in between.
             future::yield_now().await;
@@ -122,7 +127,7 @@
                     return Err("no_user");
                 }
                 Ok(Some((Startup::Begin { minor, options, .. }, size))) => {
-                    let (pid, key) = self.sessions.new_key();
+                    let (pid, key) = self.sessions.new_key(self.guest, &self.stream);
                     codec::welcome(&mut self.output, minor, &options, pid, key.secret);
                     self.key = Some((pid, key));
                     self.input.drain(..size);
@@ -137,7 +142,6 @@
     async fn break_off(&mut self, e: Malformed) -> Result<std::convert::Infallible, Reason> {
         codec::error(&mut self.output, "FATAL", "08P01", e.0, None);
         self.write().await?;
-        net::linger(&self.stream).await;
         Err("protocol_violation")
     }
 
@@ -181,6 +185,11 @@
         if let Some((open, ending)) = counted {
             open.ended(ending);
         }
+        // A cancel that came meanwhile meant this query, one that comes now may mean the next.
+        self.is_cancelled();
+        if self.input.is_empty() {
+            self.guest.is(Stage::Idle, self.sessions.intake.now());
+        }
         Ok(())
     }
 
@@ -191,10 +200,12 @@
             self.closing();
             return Ok(Ending::Refused);
         }
-        let exchange = Exchange::new(request);
-        if let Some((_, key)) = &self.key {
-            key.cancelled.set(false); // a cancel that came between queries meant an earlier one
+        // Its client may have gone, or cancelled it, before it was read: then nothing of it begins.
+        self.hear()?;
+        if self.is_cancelled() {
+            return Ok(self.answer(None));
         }
+        let exchange = Exchange::new(request);
         if !sessions.intake.submit(&exchange) {
             self.fail("22023", "field `rid` names a request that is, or was just now, open");
             return Ok(Ending::Failed);
@@ -203,6 +214,33 @@
         Ok(self.answer(answer))
     }
 
+    /// Whether the query at hand was cancelled; it is told once.
+    fn is_cancelled(&self) -> bool {
+        self.key.as_ref().is_some_and(|(_, key)| key.cancelled.replace(false))
+    }
+
+    /// Reads ahead what is here, without waiting: a client that has left shows where its end is read, or where the
+    /// machine tells of it behind more than is read ahead.
+    fn hear(&mut self) -> Result<(), Reason> {
+        let mut chunk = [0u8; 4096];
+        while self.input.len() < READ_AHEAD {
+            match self.stream.get_ref().read(&mut chunk) {
+                Ok(0) => return Err("left"),
+                Ok(n) => {
+                    self.input.extend_from_slice(chunk.get(..n).unwrap_or_default());
+                    self.read_at = self.sessions.intake.now();
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Err("reset"),
+            }
+        }
+        if net::has_hung_up(&self.stream) {
+            return Err("left");
+        }
+        Ok(())
+    }
+
     /// Waits for the answer; `None` if the client cancelled the query.
     async fn wait(&mut self, exchange: &Exchange) -> Result<Option<Answer>, Reason> {
         let id = exchange.request.query.id;
@@ -220,8 +258,12 @@
             // The client's leaving shows only where it is read; what it sends ahead is kept.
             let (room, mut chunk) = (self.input.len() < READ_AHEAD, [0u8; 4096]);
             let read = async {
+                // Behind more than is read ahead, its end can't be read: it is asked for.
                 if !room {
-                    return pending().await;
+                    while !net::has_hung_up(&self.stream) {
+                        Timer::after(LOOK).await;
+                    }
+                    return Waited::Read(Ok(0));
                 }
                 Waited::Read(self.stream.read_with(|mut s| s.read(&mut chunk)).await)
             };
--- a/violetgate/src/net.rs
+++ b/violetgate/src/net.rs
@@ -6,6 +6,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
+use rustix::event::{PollFd, PollFlags, Timespec};
 use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
 
 /// Connections that the machine may hold until they are accepted. The standard library's 128 are gone in one
@@ -32,6 +33,15 @@
     Async::new(TcpListener::from(socket))
 }
 
+/// Whether the other end has gone, even if what it sent before has not been read.
+#[must_use]
+pub fn has_hung_up(stream: &Async<TcpStream>) -> bool {
+    let gone = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut one = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
+    let now = Timespec { tv_sec: 0, tv_nsec: 0 };
+    rustix::event::poll(&mut one, Some(&now)).is_ok() && one.iter().any(|f| f.revents().intersects(gone))
+}
+
 /// Says that nothing more comes, and reads on for a moment what the other end still sends.
 pub async fn linger(stream: &Async<TcpStream>) {
     let _ = stream.get_ref().shutdown(Shutdown::Write);
--- a/violetgate/src/rest/mod.rs
+++ b/violetgate/src/rest/mod.rs
@@ -40,7 +40,7 @@
 use crate::log;
 use crate::net;
 use crate::problem::Problem;
-use crate::room::{Guest, Room};
+use crate::room::{Guest, Room, FRESH};
 use crate::settings;
 use crate::stats::{Ending, Stats};
 use line::{At, Line, Patience, Watched};
@@ -169,7 +169,7 @@
             let now = self.core.clock.now();
             self.core.results.borrow_mut().expire(now);
             if let Some(reason) = self.core.door.sends_home(now) {
-                self.room.dismiss_idle(now, reason);
+                self.room.dismiss_idle(now, FRESH, reason);
             }
         }
     }
--- a/violetgate/src/room.rs
+++ b/violetgate/src/room.rs
@@ -11,8 +11,11 @@
 /// A connection that has said nothing whole for this long is taken as mute: one that has just come up is
 /// about to speak, and must not give way to the next.
 const MUTE: Micros = 250_000;
-/// A connection that became idle less long ago is left alone when idle ones are dismissed.
-const FRESH: Micros = 50_000;
+/// A connection that became idle less long ago is left alone when idle ones are dismissed: a new connection's first
+/// request may be on its way.
+pub const FRESH: Micros = 50_000;
+/// One connection in so many may be just being closed beside those that count.
+const CLOSING: usize = 8;
 
 /// What a connection is at.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -53,6 +56,11 @@
         self.owes.get()
     }
 
+    /// It may ask, and does not.
+    pub fn is_idle(&self) -> bool {
+        self.at.get().0 == Stage::Idle
+    }
+
     /// Waits until it has to give way; the reason why.
     pub async fn gives_way(&self) -> &'static str {
         poll_fn(|cx| {
@@ -77,13 +85,43 @@
     most: Cell<usize>,
     next: Cell<u64>,
     guests: RefCell<BTreeMap<u64, Rc<Guest>>>,
+    closing: Rc<Cell<usize>>,
+}
+
+/// The place of a connection that counts no more and is just being closed; it ends with this.
+pub struct Closing(Rc<Cell<usize>>);
+
+impl Drop for Closing {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
 }
 
 impl Room {
     /// Creates room for `most` connections.
     #[must_use]
     pub fn new(most: usize) -> Self {
-        Room { most: Cell::new(most), next: Cell::new(0), guests: RefCell::default() }
+        Room { most: Cell::new(most), next: Cell::new(0), guests: RefCell::default(), closing: Rc::default() }
+    }
+
+    /// A place for one that is just being closed, and holds its descriptor a little longer. `None`: so many are that
+    /// it has to be closed at once, or the process would run out of descriptors.
+    pub fn closing(&self) -> Option<Closing> {
+        let (now, most) = (self.closing.get(), self.most.get() / CLOSING + 1);
+        (now < most).then(|| {
+            self.closing.set(now + 1);
+            Closing(Rc::clone(&self.closing))
+        })
+    }
+
+    /// How many are just being closed.
+    pub fn being_closed(&self) -> usize {
+        self.closing.get()
+    }
+
+    /// The first to give way goes, though there is room: the machine has none.
+    pub fn give_way(&self, now: Micros) {
+        self.evict(now);
     }
 
     /// Lets a connection in. In a full room another gives way: a mute one first, then the one idle longest,
@@ -118,11 +156,10 @@
         first.inspect(|g| g.leave("evicted")).is_some()
     }
 
-    /// Lets all that are idle go, but for those that became so just now: a new connection's first request may
-    /// be on its way.
-    pub fn dismiss_idle(&self, now: Micros, reason: &'static str) {
+    /// Lets all go that have been idle for so long.
+    pub fn dismiss_idle(&self, now: Micros, fresh: Micros, reason: &'static str) {
         let idle = |g: &&Rc<Guest>| {
-            matches!(g.at.get(), (Stage::Idle, since) if now >= since + FRESH) && g.owed() <= now
+            matches!(g.at.get(), (Stage::Idle, since) if now >= since + fresh) && g.owed() <= now
         };
         self.guests.borrow().values().filter(idle).for_each(|g| g.leave(reason));
     }
