Close resting sessions one by one before the process ends

Cause, from reading serve.rs: once nothing was busy the process exited at once, with sessions at rest cut by the exit whatever their sockets held, and the last answers written lost if that became a reset.

--- a/violetgate/src/serve.rs
+++ b/violetgate/src/serve.rs
@@ -352,19 +352,27 @@
             door.hand_over();
         }
         let leave = longest.min(if upgrade { UPGRADE } else { RESTART }) + SPARE - MARGIN;
-        let mut closed = false;
+        let (mut closed, mut resting) = (false, None);
         loop {
-            let open = if upgrade { sessions.len() } else { sessions.busy() };
-            if open + rest.as_ref().map_or(0, |r| r.owing()) == 0 {
-                break;
-            }
+            let busy = sessions.busy() + rest.as_ref().map_or(0, |r| r.owing());
+            let left = busy + sessions.len() + sessions.closing();
             let late = begun.elapsed().saturating_sub(leave);
-            if late > LAST {
+            if left == 0 || late > LAST {
                 break;
             }
             if !late.is_zero() && !std::mem::replace(&mut closed, true) {
                 dispatch.close();
             }
+            if busy > 0 {
+                resting = None;
+            } else if !upgrade || closed {
+                // All is answered. Those that rest are closed one by one, so that what comes just then, and what was
+                // written last, is not lost in a reset; one that says half of something is cut.
+                if resting.get_or_insert_with(Instant::now).elapsed() > LAST {
+                    break;
+                }
+                sessions.dismiss("shutdown");
+            }
             Timer::after(LOOK).await;
         }
     }));
