Keep the sum of all gateways' first sends to a cold engine within what it bears

The first span's sum was one and a half times what was meant: with 300 gateways before 32 cores 6.3 queries more than N + 2 x root of N + 2, and at 8 cores little room left. Ruled out: the deterministic part (COLD_MARGIN halves it for few gateways), the chances of later spans (4 deviations below N itself, the older line's 3 x root of N + 3 was never used up).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -62,8 +62,7 @@
 const FAIL_GAIN: f64 = 0.25;
 const EJECT: f64 = 0.4;
 const TRUST: f64 = 0.12;
-/// An ejected engine rests this many note periods, doubled so often at failed trials: what ails it ends
-/// unannounced, and a trial costs one further attempt.
+/// Note periods that an ejected engine rests, doubled so often at failed trials: each costs an attempt.
 const REST: f64 = 1.0;
 const REST_DOUBLINGS: u32 = 1;
 /// The part of its ration that a gateway's trials may cost.
@@ -83,10 +82,11 @@
 const SLOW: f64 = 0.35;
 /// The part used of what a cold engine is said to bear.
 const COLD_MARGIN: f64 = 0.5;
-/// Deviations that chances drawn by all gateways stay below what a cold engine bears.
+/// Deviations that chances drawn by all gateways stay below what a cold engine bears; how much rarer they are
+/// before a gateway's own phase, as all hear of an engine at once and these come on top of the span's.
 const CHANCE: f64 = 4.0;
-/// Deviations above the expected need at which memory is granted; weight of an outcome in what is expected
-/// and of a query in the usual mix.
+const FIRST: f64 = 4.0;
+/// Deviations above the expected need at which memory is granted; weight of a query in what is expected.
 const GRANT_AT: f64 = 1.3;
 /// The grant as a multiple of the estimate while no need has been told.
 const GRANT_UNTOLD: f64 = 1.25;
--- a/src/rules/fleet.rs
+++ b/src/rules/fleet.rs
@@ -29,8 +29,7 @@
         from + (1.0 - from) * age * age
     }
 
-    /// In use and not ejected. Where most engines look bad, the cause is shared (or lies here),
-    /// and ejecting would leave nobody to serve.
+    /// In use and not ejected; where most look bad, the cause is shared and ejecting would leave nobody.
     pub(super) fn healthy(&self, n: &Node) -> bool {
         n.in_use() && (!n.health.ejected || self.fleet.mostly_bad)
     }
@@ -39,9 +38,10 @@
     pub(super) fn survey(&mut self) {
         let span = self.s.fall.unwrap_or(0).max(1);
         for n in self.nodes.values_mut().filter(|n| n.chance_until <= self.now) {
-            let first = if n.chance_until == 0 { self.rng.next_u64() % span } else { span };
-            n.chance = f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
-            n.chance_until = self.now + first.max(1);
+            let new = n.chance_until == 0;
+            let (until, rarer) = if new { (self.rng.next_u64() % span, FIRST) } else { (span, 1.0) };
+            n.chance = rarer * f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
+            n.chance_until = self.now + until.max(1);
         }
         let ready = || self.nodes.values().filter(|n| n.in_use());
         self.fleet.mostly_bad = 2 * ready().filter(|n| n.health.ejected).count() > ready().count();
--- a/violetgate/src/engine/pool/tests.rs
+++ b/violetgate/src/engine/pool/tests.rs
@@ -200,7 +200,10 @@
     send(&engine.pool, 1);
     assert!(engine.pool.recall(1), "it waits for its connection");
     send(&engine.pool, 2);
-    let (_stream, got) = engine.serves();
+    let (mut stream, got) = engine.serves();
     assert!(got.starts_with("serve 0000000000000002 "), "{got}");
     assert!(!engine.pool.recall(2) && !engine.pool.recall(1) && engine.ends.0.borrow().is_empty());
+    stream.write_all(b"0000000000000002 refused - 0\r\n\r\n").unwrap();
+    engine.until("it ends by itself", || engine.ends.0.borrow().len() == 1);
+    assert_eq!(engine.ends.0.take(), [(2, Outcome::Saturated)]);
 }
