--- a/violetgate/src/engine/pool/tests.rs
+++ b/violetgate/src/engine/pool/tests.rs
@@ -207,3 +207,25 @@
     engine.until("it ends by itself", || engine.ends.0.borrow().len() == 1);
     assert_eq!(engine.ends.0.take(), [(2, Outcome::Saturated)]);
 }
+
+/// An answer that begins and then trickles, byte by byte, is cut short in time counted from its beginning, not from its
+/// last byte: it can't hold its attempt, and neither does one whose line never ends.
+#[test]
+fn an_answer_that_trickles_is_cut_short() {
+    for begin in ["0000000000000001 ok chunks=1,spent=5,wanted=9 5000\r\n", "0000000000000001 ok chunks="] {
+        let engine = Played::new(3);
+        send(&engine.pool, 1);
+        let (mut stream, _) = engine.serves();
+        stream.write_all(begin.as_bytes()).unwrap();
+        let mut said = Instant::now();
+        engine.until("it is cut short", || {
+            if said.elapsed() > Duration::from_millis(20) {
+                let _ = stream.write(b"1");
+                said = Instant::now();
+            }
+            !engine.ends.0.borrow().is_empty()
+        });
+        assert_eq!(engine.ends.0.take(), [(1, Outcome::Severed)]);
+        assert!(engine.pool.conns.borrow().is_empty());
+    }
+}
--- a/violetgate/tests/support/mod.rs
+++ b/violetgate/tests/support/mod.rs
@@ -264,7 +264,11 @@
 
 impl Pg {
     pub fn open(addr: &str) -> Self {
-        Pg(client::Pg::over(connect(addr), WAIT).unwrap())
+        Self::over(connect(addr))
+    }
+
+    pub fn over(stream: TcpStream) -> Self {
+        Pg(client::Pg::over(stream, WAIT).unwrap())
     }
 
     pub fn send(&mut self, sql: &str) {
