--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks. `make run` needs PROXY_CONFIG, see README.md.
-.PHONY: build test lint run ci prove-rest prove-daemon prove-run prove-membership prove-fleet gate
+.PHONY: build test lint run ci prove-rest prove-daemon prove-run prove-membership prove-fleet prove-fleet-rules gate
 
 # Proofs measure for a while and hold the program to bounds; arguments by ARGS="--requests 100000".
 ARGS ?=
@@ -27,6 +27,11 @@
 	cargo build --locked --release --workspace
 	target/release/prove-fleet $(ARGS)
 
+# Many gateways and several real processes, what each does alone summed; ARGS="--short".
+prove-fleet-rules:
+	cargo build --locked --release --workspace
+	target/release/prove-fleet-rules $(ARGS)
+
 # What the regression gate plays next, and what it found last, on both deployments in turn.
 gate:
 	@tools/gate
--- a/tools/prove/src/lib.rs
+++ b/tools/prove/src/lib.rs
@@ -1,6 +1,7 @@
 //! What all proofs share: the program under proof, its use of the machine, and a load that does not wait for
 //! answers. Each proof is a command of its own in `src/bin`, run by `make prove-NAME`.
 
+pub mod cold;
 pub mod daemon;
 pub mod inside;
 pub mod mesh;
@@ -240,6 +241,14 @@
         }
     }
 
+    /// Notes a figure that has to be `least` at least.
+    pub fn at_least(&mut self, name: &str, value: f64, least: f64) {
+        self.figures.push(format!("{name}={value:.3}"));
+        if value.is_nan() || value < least {
+            self.missed.push(format!("{name} is {value:.3}, {least} at least"));
+        }
+    }
+
     /// Prints the last line; true: every bound was kept.
     #[must_use]
     pub fn tell(&self, name: &str) -> bool {
--- a/tools/standin/src/bus.rs
+++ b/tools/standin/src/bus.rs
@@ -24,6 +24,8 @@
 #[derive(Default)]
 struct State {
     events: Vec<Value>,
+    /// How often all that were open fell silent.
+    muted: u64,
     followers: Vec<Arc<Async<TcpStream>>>,
 }
 
@@ -69,7 +71,13 @@
         }
     }
 
+    /// Every watch that is open now says nothing more, and stays open; new ones are as ever.
+    pub fn mute(&self) {
+        lock(&self.state).muted += 1;
+    }
+
     async fn follow(&self, stream: &Async<TcpStream>) -> std::io::Result<()> {
+        let born = lock(&self.state).muted;
         let mut hello = Vec::new();
         let mut byte = [0];
         while !hello.ends_with(b"\n") && hello.len() < 64 {
@@ -83,6 +91,10 @@
         let Some(mut next) = from else { return Ok(()) };
         let mut beat = Timer::after(BEAT);
         loop {
+            if lock(&self.state).muted > born {
+                while stream.read_with(|mut s| s.read(&mut byte)).await? > 0 {}
+                return Ok(());
+            }
             let lines: Vec<String> =
                 lock(&self.state).events.iter().skip(next).map(|e| format!("{e}\n")).collect();
             for line in lines {
--- a/tools/standin/src/lib.rs
+++ b/tools/standin/src/lib.rs
@@ -163,6 +163,11 @@
         self.0.bus.break_off();
     }
 
+    /// Lets every watch that is open on the bus fall silent; new ones are as ever.
+    pub fn mute_bus(&self) {
+        self.0.bus.mute();
+    }
+
     /// What has reached the engines so far.
     #[must_use]
     pub fn counts(&self) -> Counts {
