Tell why a test's front end did not come up: its log, instead of a bare reset

A process that ends at its start resets what waits to be accepted, so most likely its start failed, and its log went nowhere. Change: the log of a front end's first start goes to a file, and a health call that fails prints it; it fails as before.

--- a/violetgate/tests/support/mod.rs
+++ b/violetgate/tests/support/mod.rs
@@ -98,7 +98,8 @@
             assert!(made.0, "{}", made.1);
         }
         let management = reserved();
-        let child = Self::spawn(&folder, &listen, &management, Stdio::null());
+        let log = std::fs::File::create(folder.join("log")).unwrap();
+        let child = Self::spawn(&folder, &listen, &management, log.into());
         let front = Front { fleet, child, listen, rest: at, management, folder };
         front.healthy();
         front
@@ -141,7 +142,13 @@
 
     /// Waits until the process is ready and listens for REST.
     pub fn healthy(&self) {
-        until("healthy", || self.call("GET", "/admin/health", "").0 == 200);
+        // A process that has ended resets what waits to be accepted: its log says why.
+        let health = || client::Http::over(connect(&self.management), WAIT)?.get("/admin/health");
+        let told = |e| {
+            let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
+            panic!("{e}; the log of its first start: {log}")
+        };
+        until("healthy", || health().unwrap_or_else(told).status == 200);
         connect(&self.rest);
     }
 
