Take a closure, a copy and a lock written thrice out of prove-fleet-rules

Need: found on reading the change again: a closure called once, a cloned list that could be borrowed, one lock written three times. Change: Load is made where it is used, Load::tally locks, rids are borrowed. Bounds and what is played stay as they were.

--- a/tools/prove/src/bin/prove-fleet-rules.rs
+++ b/tools/prove/src/bin/prove-fleet-rules.rs
@@ -7,7 +7,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Mutex;
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use clap::Parser;
@@ -73,6 +73,10 @@
 }
 
 impl Load<'_> {
+    fn tally(&self) -> MutexGuard<'_, Tally> {
+        self.tally.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// One client: a session at each front end, one request at a time, now here and now there.
     fn run(&self) {
         let mut sessions: Vec<Option<Pg>> = self.listens.iter().map(|_| None).collect();
@@ -80,7 +84,7 @@
             let n = self.next.fetch_add(1, Ordering::Relaxed);
             let (class, tenant) = (CLASSES[n as usize % 3], TENANTS[n as usize / 3 % 2]);
             let served = self.ask(&mut sessions, n, class, tenant);
-            let mut tally = self.tally.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            let mut tally = self.tally();
             for name in [class, tenant] {
                 let of = tally.by.entry(name).or_default();
                 (of.0, of.1) = (of.0 + 1, of.1 + u64::from(served));
@@ -108,7 +112,7 @@
             };
             let sent = Instant::now();
             let answer = pg.send(&statement(class, tenant, rid + again)).and_then(|()| pg.read());
-            let mut tally = self.tally.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+            let mut tally = self.tally();
             match answer {
                 Ok(Ok(rows)) => {
                     let own = format!("{:016x}", rid + again);
@@ -169,8 +173,7 @@
         rids.push(format!("{rid:016x}"));
         open.push(pg);
     }
-    let first = rids.clone();
-    let tried = engines.wait_for(|c| first.iter().any(|rid| c.by_request.contains_key(rid)));
+    let tried = engines.wait_for(|c| rids.iter().any(|rid| c.by_request.contains_key(rid)));
     drop(open);
     let gone = rig.wait(WAIT, |rig| in_progress(&rig.all[0]) == 0.0).is_some();
     if !tried || !gone {
@@ -213,13 +216,8 @@
         (AtomicU64::new(given.seed << 32), AtomicBool::new(false), Mutex::new(Tally::default()));
     let mut slowest = Duration::ZERO;
     let clients = 4 * count;
-    let shares = |rig: &Rig| Load {
-        listens: rig.all.iter().map(|p| p.listen).collect(),
-        next: &next,
-        over: &over,
-        tally: &tally,
-    };
-    let load = shares(&rig);
+    let listens = rig.all.iter().map(|p| p.listen).collect();
+    let load = Load { listens, next: &next, over: &over, tally: &tally };
     std::thread::scope(|scope| {
         let threads: Vec<_> = (0..clients).map(|_| scope.spawn(|| load.run())).collect();
         println!("{count} processes, {clients} clients; restarts one by one:");
@@ -247,7 +245,7 @@
         threads.into_iter().for_each(|t| drop(t.join()));
     });
     let counts = rig.engines().counts();
-    let mut tally = tally.into_inner().unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut tally = tally.into_inner().unwrap_or_else(PoisonError::into_inner);
     tally.second += counts.effects.values().filter(|n| **n > 1).count() as u64;
     let asked: u64 = CLASSES.iter().filter_map(|c| tally.by.get(c)).map(|(asked, _)| asked).sum();
     println!("{asked} requests, {} crossed a close and were sent again", tally.crossed);
