Move the rig and the fleet's simulator to tools/

Cause: tools/prove used fleet/membership while fleet/rig used tools/prove; rigs and simulators are no part of the product. Change: fleet/rig is tools/rig (violetgate-rig), fleet/world is tools/simulator (violetgate-simulator); nothing else.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 
 # ARGS="--seeds 1000" is the long form, "--full" measures traffic at 1,000 members.
 prove-membership:
-	cargo build --locked --release -p violetgate-fleet-world
+	cargo build --locked --release -p violetgate-simulator
 	target/release/prove-membership $(ARGS)
 
 # Real processes; ARGS="--seed 7".
--- a/tools/prove/src/bin/prove-fleet-rules.rs
+++ b/tools/prove/src/bin/prove-fleet-rules.rs
@@ -12,8 +12,8 @@
 
 use clap::Parser;
 use rustix::process::Signal;
-use violetgate_fleet_rig::{Process, Rig};
 use violetgate_prove::{cold, ended, Verdict};
+use violetgate_rig::{Process, Rig};
 use violetgate_standin::client::Pg;
 use violetgate_standin::Fault;
 
--- a/fleet/world/src/bin/prove-membership.rs
+++ b/tools/simulator/src/bin/prove-membership.rs
@@ -4,7 +4,7 @@
 
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use violetgate_fleet_world::{Cut, Weather, World, S};
+use violetgate_simulator::{Cut, Weather, World, S};
 use violetgate_membership::{Manner, Micros};
 
 fn quiet(_: &World) -> Result<(), String> {
--- a/fleet/world/tests/fleet.rs
+++ b/tools/simulator/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use violetgate_fleet_world::{name, number, Cut, Weather, World, S};
+use violetgate_simulator::{name, number, Cut, Weather, World, S};
 use violetgate_membership::{Manner, State};
 
 fn world(count: usize, seed: u64, weather: Weather) -> World {
--- a/fleet/world/tests/model.rs
+++ b/tools/simulator/tests/model.rs
@@ -6,7 +6,7 @@
 use std::hash::{Hash, Hasher};
 
 use stateright::{Checker, Model, Property};
-use violetgate_fleet_world::{number, Cut, Weather, World, S};
+use violetgate_simulator::{number, Cut, Weather, World, S};
 use violetgate_membership::{Manner, State};
 
 /// Steps of a run, each of this length; trouble comes and goes between them.
