--- a/tools/simulator/src/lib.rs
+++ b/tools/simulator/src/lib.rs
@@ -32,7 +32,7 @@
 
 /// What happens in a run.
 #[derive(Debug, Clone, Default)]
-pub struct Weather {
+pub struct FaultPlan {
     /// The share of messages that are lost.
     pub loss: f64,
     /// Messages take 1 ms and up to this much longer.
@@ -69,7 +69,7 @@
 /// A fleet at work.
 #[derive(Debug, Clone)]
 pub struct World {
-    weather: Weather,
+    faults: FaultPlan,
     members: Vec<Membership>,
     running: Vec<bool>,
     queue: BinaryHeap<Reverse<(Micros, u64)>>,
@@ -114,14 +114,14 @@
 impl World {
     /// A fleet of so many, each of which knows the first three as seeds.
     #[must_use]
-    pub fn new(count: usize, seed: u64, manner: &Manner, weather: Weather) -> Self {
+    pub fn new(count: usize, seed: u64, manner: &Manner, faults: FaultPlan) -> Self {
         let seeds: Vec<SocketAddr> = (0..count.min(3)).map(addr).collect();
         let member = |i| {
             let own = seed.wrapping_mul(1_000_003).wrapping_add(i as u64);
             Membership::new(manner.clone(), name(i), addr(i), 1_000, &seeds, own)
         };
         let mut world = World {
-            weather,
+            faults,
             members: (0..count).map(member).collect(),
             running: vec![true; count],
             queue: BinaryHeap::new(),
@@ -148,7 +148,7 @@
     }
 
     fn paused_until(&self, i: usize, at: Micros) -> Option<Micros> {
-        self.weather
+        self.faults
             .pauses
             .iter()
             .filter(|(p, from, to)| *p == i && (*from..*to).contains(&at))
@@ -206,7 +206,7 @@
             let i = match &event {
                 Event::Deliver(to, _) | Event::Turn(to) => *to,
             };
-            if self.weather.deaths.iter().any(|(d, t)| *d == i && *t <= at) {
+            if self.faults.deaths.iter().any(|(d, t)| *d == i && *t <= at) {
                 self.running.get_mut(i).into_iter().for_each(|r| *r = false);
             }
             if !self.runs(i) {
@@ -221,7 +221,7 @@
             match event {
                 Event::Turn(_) => {
                     member.turn(at, &mut actions);
-                    if self.weather.leaves.iter().any(|(l, t)| *l == i && *t <= at) {
+                    if self.faults.leaves.iter().any(|(l, t)| *l == i && *t <= at) {
                         member.leave(&mut actions);
                         self.running.get_mut(i).into_iter().for_each(|r| *r = false);
                     }
@@ -250,10 +250,9 @@
                 let (to, now) = (index(to), self.now);
                 let hit =
                     |c: &Cut| (c.begin..c.end).contains(&now) && c.from.contains(&i) && c.to.contains(&to);
-                let lost = (self.rng.next_u64() as f64 / u64::MAX as f64) < self.weather.loss;
-                let late =
-                    if self.weather.jitter > 0 { self.rng.next_u64() % self.weather.jitter } else { 0 };
-                if to < self.members.len() && !lost && !self.weather.cuts.iter().any(hit) {
+                let lost = (self.rng.next_u64() as f64 / u64::MAX as f64) < self.faults.loss;
+                let late = if self.faults.jitter > 0 { self.rng.next_u64() % self.faults.jitter } else { 0 };
+                if to < self.members.len() && !lost && !self.faults.cuts.iter().any(hit) {
                     self.add(now + 1_000 + late, Event::Deliver(to, message));
                 }
             }
@@ -266,8 +265,8 @@
     }
 
     /// From now on this happens, and nothing that was to come before.
-    pub fn befall(&mut self, weather: Weather) {
-        self.weather = weather;
+    pub fn set_faults(&mut self, faults: FaultPlan) {
+        self.faults = faults;
     }
 
     /// Those that stood still go on now: what waited for them comes at once.
@@ -312,7 +311,7 @@
     /// Deaths told of members that run, and of none other.
     #[must_use]
     pub fn false_deaths(&self) -> usize {
-        let died = |of: usize, at: Micros| self.weather.deaths.iter().any(|(d, t)| *d == of && *t <= at);
+        let died = |of: usize, at: Micros| self.faults.deaths.iter().any(|(d, t)| *d == of && *t <= at);
         self.seen.iter().filter(|s| s.state == State::Dead && !died(s.of, s.at)).count()
     }
 
--- a/tools/simulator/tests/fleet.rs
+++ b/tools/simulator/tests/fleet.rs
@@ -2,11 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
-use violetgate_simulator::{name, number, Cut, Weather, World, S};
 use violetgate_membership::{Manner, State};
+use violetgate_simulator::{name, number, Cut, FaultPlan, World, S};
 
-fn world(count: usize, seed: u64, weather: Weather) -> World {
-    World::new(count, seed, &Manner::default(), weather)
+fn world(count: usize, seed: u64, faults: FaultPlan) -> World {
+    World::new(count, seed, &Manner::default(), faults)
 }
 
 fn quiet(_: &World) -> Result<(), String> {
@@ -21,7 +21,7 @@
 /// All find each other from a few seeds, and a death reaches all in time; the dead one's share is then known.
 #[test]
 fn a_death_reaches_all() {
-    let mut w = world(12, 1, Weather { deaths: vec![(4, 10 * S)], ..Weather::default() });
+    let mut w = world(12, 1, FaultPlan { deaths: vec![(4, 10 * S)], ..FaultPlan::default() });
     w.run(5 * S, quiet).unwrap();
     assert!(w.agrees() && w.serving(0) == 12);
     w.run(16 * S, quiet).unwrap();
@@ -31,7 +31,7 @@
 /// One that leaves is known as left, not dead, and soon.
 #[test]
 fn leaving_is_no_death() {
-    let mut w = world(12, 2, Weather { leaves: vec![(3, 10 * S)], ..Weather::default() });
+    let mut w = world(12, 2, FaultPlan { leaves: vec![(3, 10 * S)], ..FaultPlan::default() });
     w.run(12 * S, quiet).unwrap();
     let states: Vec<State> = (0..12)
         .filter(|i| *i != 3)
@@ -47,7 +47,7 @@
     for seed in 0..20 {
         let pauses =
             (0..8).map(|i| (i * 3, 10 * S + i as u64 * 40_000, 12 * S + i as u64 * 40_000)).collect();
-        let mut w = world(24, seed, Weather { loss: 0.3, jitter: S / 5, pauses, ..Weather::default() });
+        let mut w = world(24, seed, FaultPlan { loss: 0.3, jitter: S / 5, pauses, ..FaultPlan::default() });
         w.run(30 * S, quiet).unwrap();
         assert_eq!(w.false_deaths(), 0, "seed {seed}");
     }
@@ -57,7 +57,7 @@
 /// believed again; it has told of nobody's death meanwhile.
 #[test]
 fn one_that_slept_too_long_comes_back() {
-    let mut w = world(9, 3, Weather { pauses: vec![(2, 10 * S, 30 * S)], ..Weather::default() });
+    let mut w = world(9, 3, FaultPlan { pauses: vec![(2, 10 * S, 30 * S)], ..FaultPlan::default() });
     w.run(29 * S, quiet).unwrap();
     assert!(w.seen.iter().any(|s| s.of == 2 && s.state == State::Dead));
     w.run(34 * S, quiet).unwrap();
@@ -69,7 +69,8 @@
 #[test]
 fn one_that_is_cut_off_kills_nobody() {
     let others: Vec<usize> = (1..9).collect();
-    let mut w = world(9, 4, Weather { cuts: both_ways(&[0], &others, 10 * S, 40 * S), ..Weather::default() });
+    let mut w =
+        world(9, 4, FaultPlan { cuts: both_ways(&[0], &others, 10 * S, 40 * S), ..FaultPlan::default() });
     w.run(39 * S, quiet).unwrap();
     assert!(w.seen.iter().all(|s| s.by != 0 || s.state != State::Dead));
     assert_eq!(w.serving(0), 9);
@@ -83,7 +84,7 @@
 fn a_cut_link_is_no_death() {
     for (a, b) in [(0, 1), (1, 2), (2, 4), (3, 4)] {
         let mut w =
-            world(5, 5, Weather { cuts: both_ways(&[a], &[b], 10 * S, 60 * S), ..Weather::default() });
+            world(5, 5, FaultPlan { cuts: both_ways(&[a], &[b], 10 * S, 60 * S), ..FaultPlan::default() });
         w.run(50 * S, quiet).unwrap();
         assert_eq!(w.false_deaths(), 0);
         assert!(w.links.iter().any(|(_, x, y, cut)| *cut && [(a, b), (b, a)].contains(&(*x, *y))), "{a} {b}");
@@ -97,7 +98,7 @@
 fn one_that_hears_nothing_settles() {
     let others: Vec<usize> = (1..10).collect();
     let cut = Cut { from: others, to: vec![0], begin: 10 * S, end: 100 * S };
-    let mut w = world(10, 6, Weather { cuts: vec![cut], ..Weather::default() });
+    let mut w = world(10, 6, FaultPlan { cuts: vec![cut], ..FaultPlan::default() });
     w.run(99 * S, quiet).unwrap();
     let told = |i: usize| w.seen.iter().filter(|s| s.by == i && s.of == 0 && s.at > 10 * S).count();
     assert!((1..10).all(|i| told(i) <= 2), "suspected, then dead");
@@ -109,7 +110,7 @@
 #[test]
 fn halves_become_one_again() {
     let (a, b): (Vec<usize>, Vec<usize>) = ((0..10).collect(), (10..20).collect());
-    let mut w = world(20, 7, Weather { cuts: both_ways(&a, &b, 10 * S, 60 * S), ..Weather::default() });
+    let mut w = world(20, 7, FaultPlan { cuts: both_ways(&a, &b, 10 * S, 60 * S), ..FaultPlan::default() });
     w.run(60 * S, quiet).unwrap();
     let dead = w.view(0).filter(|m| m.state == State::Dead && number(&m.name) >= 10).count();
     assert!(dead >= 5, "{dead} of ten held for dead across the split");
--- a/tools/simulator/tests/model.rs
+++ b/tools/simulator/tests/model.rs
@@ -6,8 +6,8 @@
 use std::hash::{Hash, Hasher};
 
 use stateright::{Checker, Model, Property};
-use violetgate_simulator::{number, Cut, Weather, World, S};
 use violetgate_membership::{Manner, State};
+use violetgate_simulator::{number, Cut, FaultPlan, World, S};
 
 /// Steps of a run, each of this length; trouble comes and goes between them.
 const STEPS: usize = 4;
@@ -54,20 +54,20 @@
     }
 
     /// What holds now, by what came since the last healing.
-    fn weather(&self) -> Weather {
-        let mut weather = Weather::default();
+    fn faults(&self) -> FaultPlan {
+        let mut faults = FaultPlan::default();
         let since = self.past.iter().rposition(|t| *t == Trouble::Heal).map_or(0, |at| at + 1);
         for (trouble, at) in self.past.iter().zip(0u64..).skip(since) {
             let begin = CALM + at * STEP;
             match trouble {
                 Trouble::Cut(from, to) => {
-                    weather.cuts.push(Cut { from: vec![*from], to: vec![*to], begin, end: u64::MAX });
+                    faults.cuts.push(Cut { from: vec![*from], to: vec![*to], begin, end: u64::MAX });
                 }
-                Trouble::Stop(i) => weather.pauses.push((*i, begin, CALM + 100 * STEP)),
+                Trouble::Stop(i) => faults.pauses.push((*i, begin, CALM + 100 * STEP)),
                 Trouble::Wait | Trouble::Heal => {}
             }
         }
-        weather
+        faults
     }
 }
 
@@ -78,7 +78,7 @@
     type Action = Trouble;
 
     fn init_states(&self) -> Vec<Run> {
-        let mut world = World::new(3, 5, &self.0, Weather::default());
+        let mut world = World::new(3, 5, &self.0, FaultPlan::default());
         world.run(CALM, |_| Ok(())).unwrap();
         vec![Run { world, past: Vec::new() }]
     }
@@ -87,19 +87,18 @@
         if run.past.len() >= STEPS {
             return;
         }
-        let weather = run.weather();
+        let faults = run.faults();
         actions.push(Trouble::Wait);
         // Three cuts at most, and one stop in a run.
         if run.past.iter().filter(|t| matches!(t, Trouble::Cut(..))).count() < 3 {
             let links = [(0, 1), (1, 0), (0, 2), (2, 0), (1, 2), (2, 1)];
-            let whole =
-                |(a, b): &(usize, usize)| !weather.cuts.iter().any(|c| c.from == [*a] && c.to == [*b]);
+            let whole = |(a, b): &(usize, usize)| !faults.cuts.iter().any(|c| c.from == [*a] && c.to == [*b]);
             actions.extend(links.iter().filter(|l| whole(l)).map(|(a, b)| Trouble::Cut(*a, *b)));
         }
         if !run.past.iter().any(|t| matches!(t, Trouble::Stop(_))) {
             actions.extend((0..3).map(Trouble::Stop));
         }
-        if !weather.cuts.is_empty() || !weather.pauses.is_empty() {
+        if !faults.cuts.is_empty() || !faults.pauses.is_empty() {
             actions.push(Trouble::Heal);
         }
     }
@@ -107,8 +106,8 @@
     fn next_state(&self, run: &Run, trouble: Trouble) -> Option<Run> {
         let mut next = run.clone();
         next.past.push(trouble);
-        let weather = next.weather();
-        next.world.befall(weather);
+        let faults = next.faults();
+        next.world.set_faults(faults);
         if trouble == Trouble::Heal {
             next.world.wake();
         }
@@ -167,7 +166,7 @@
                     return true;
                 }
                 let mut later = run.world.clone();
-                later.befall(Weather::default());
+                later.set_faults(FaultPlan::default());
                 later.wake();
                 later.run(run.now() + 20 * S, |_| Ok(())).unwrap();
                 later.agrees()
@@ -218,7 +217,7 @@
             let others: Vec<usize> = (1..9).collect();
             let cuts = vec![Cut { from: others, to: vec![0], begin: 10 * S + S / 2, end: 19 * S + S / 20 }];
             let pauses = vec![(of, 8 * S, 10 * S + 3 * S / 4), (0, 10 * S + S / 2, 19 * S)];
-            let mut w = World::new(9, 3, manner, Weather { pauses, cuts, ..Weather::default() });
+            let mut w = World::new(9, 3, manner, FaultPlan { pauses, cuts, ..FaultPlan::default() });
             w.run(30 * S, |_| Ok(())).unwrap();
             w.seen.iter().filter(|s| s.by == 0 && s.state == State::Dead).count()
         };
@@ -238,9 +237,9 @@
                 begin: 10 * S,
                 end: 40 * S,
             };
-            let weather =
-                Weather { cuts: vec![cut(&[0], &others), cut(&others, &[0])], ..Weather::default() };
-            let mut w = World::new(9, 4, manner, weather);
+            let faults =
+                FaultPlan { cuts: vec![cut(&[0], &others), cut(&others, &[0])], ..FaultPlan::default() };
+            let mut w = World::new(9, 4, manner, faults);
             w.run(39 * S, |_| Ok(())).unwrap();
             w.seen.iter().filter(|s| s.by == 0 && s.state == State::Dead).count()
         };
@@ -252,7 +251,7 @@
     #[test]
     fn late_claims_are_caught() {
         let back = |manner: &Manner, life: u64| {
-            let mut w = World::new(5, 6, manner, Weather::default());
+            let mut w = World::new(5, 6, manner, FaultPlan::default());
             w.run(5 * S, |_| Ok(())).unwrap();
             let own = |i: usize| w.view((i + 1) % 5).find(|m| number(&m.name) == i).unwrap();
             let (first, four) = (own(1), own(4));
@@ -265,7 +264,7 @@
                 by: None,
             };
             let (alive, old) = (claim(&first, first.life, State::Alive), claim(&four, life, State::Alive));
-            w.befall(Weather { deaths: vec![(4, 0)], ..Weather::default() });
+            w.set_faults(FaultPlan { deaths: vec![(4, 0)], ..FaultPlan::default() });
             w.run(15 * S, |_| Ok(())).unwrap();
             assert!(w.view(0).any(|m| number(&m.name) == 4 && m.state == State::Dead));
             w.inject(0, Message { body: Body::Tell, claims: vec![alive, old] });
