--- a/cluster/state/src/lib.rs
+++ b/cluster/state/src/lib.rs
@@ -6,9 +6,11 @@
 //!
 //! It must never read a clock: commands carry the time of the leader that proposed them, the gate is told the time.
 
+mod entries;
 mod gate;
 mod store;
 
+pub use entries::Entries;
 pub use gate::{Gate, Stale};
 pub use store::{
     Change, Check, Command, Compacted, Listing, Op, Outcome, Refused, Step, Store, Txn, MAX_KEY, MAX_OPS,
--- /dev/null
+++ b/tools/scale/src/engine_side.rs
@@ -0,0 +1,1 @@
+//! Placeholder that a later commit of this change replaces.
--- /dev/null
+++ b/tools/scale/src/figures.rs
@@ -0,0 +1,63 @@
+//! The figures of a run, and the bounds they are held to.
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+
+/// How much is measured.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// The form for CI: small sizes, fixed seeds, held to counts and bytes and not to time.
+    pub short: bool,
+    /// Where random numbers begin.
+    pub seed: u64,
+}
+
+/// Figures by name, in the order of their names, and what missed its bound.
+#[derive(Debug, Default)]
+pub struct Figures {
+    values: BTreeMap<String, String>,
+    missed: Vec<String>,
+}
+
+impl Figures {
+    /// Adds a figure. Names are lower case with underscores, and end in their unit (`_us`, `_bytes`, `_per_s`).
+    pub fn add(&mut self, name: &str, value: impl std::fmt::Display) {
+        self.values.insert(name.to_owned(), value.to_string());
+    }
+
+    /// Adds a figure with three significant digits.
+    pub fn add_number(&mut self, name: &str, value: f64) {
+        let digits = if value == 0.0 { 0.0 } else { value.abs().log10().floor() };
+        let decimals = (2.0 - digits).clamp(0.0, 6.0) as usize;
+        self.add(name, format!("{value:.decimals$}"));
+    }
+
+    /// Adds a figure that has to stay at or under a bound.
+    pub fn at_most(&mut self, name: &str, value: f64, bound: f64) {
+        self.add_number(name, value);
+        if value.is_nan() || value > bound {
+            self.missed.push(format!("{name}={value} is over {bound}"));
+        }
+    }
+
+    /// Notes a failure that is no number.
+    pub fn missed(&mut self, what: impl Into<String>) {
+        self.missed.push(what.into());
+    }
+
+    /// What missed its bound.
+    #[must_use]
+    pub fn failures(&self) -> &[String] {
+        &self.missed
+    }
+
+    /// The line `NAME: key=value ...`.
+    #[must_use]
+    pub fn line(&self, name: &str) -> String {
+        let mut line = format!("{name}:");
+        for (key, value) in &self.values {
+            let _ = write!(line, " {key}={value}");
+        }
+        line
+    }
+}
--- /dev/null
+++ b/tools/scale/src/fit.rs
@@ -0,0 +1,1 @@
+//! A line through measured costs.
--- /dev/null
+++ b/tools/scale/src/lib.rs
@@ -0,0 +1,16 @@
+//! Scale tests: what each role costs as its size grows, and the size at which it passes its budget.
+//!
+//! Each role has a module with one function, `measure`, which drives the product's own code at several sizes and adds
+//! its figures. docs/CAPACITY.md stands on these figures.
+
+pub mod agreed_state;
+pub mod client_side;
+pub mod decisions;
+pub mod engine_list;
+pub mod engine_side;
+pub mod figures;
+pub mod fit;
+pub mod hollow;
+pub mod membership;
+
+pub use figures::{Figures, Options};
