Let first attempts pass held queries that wait for the resend budget

Cause: under a burst, attempts on engine connections still opening or on slow answers stayed silent past their patience of a few ms and were withdrawn, more of them than the resend budget lets be sent again. Such a query is the oldest of its class's queue, is legal nowhere, and shut out first attempts behind it, which need no budget; in a closed loop nothing new arrives, so the budget does not grow, and all wait for their deadline. Change: where no further attempt is allowed, the heads of the queues are the oldest without an attempt.

--- a/src/rules/placing.rs
+++ b/src/rules/placing.rs
@@ -15,9 +15,9 @@
 
     /// As room opens: the oldest fitting head over all queues.
     pub(super) fn pump(&mut self, actions: &mut Vec<Action>) {
-        loop {
-            let found = self.book.heads().into_iter().find_map(|id| Some((id, self.choose(id)?)));
-            let Some((id, engine)) = found else { break };
+        while let Some((id, engine)) =
+            self.book.heads(self.within_budget()).into_iter().find_map(|id| Some((id, self.choose(id)?)))
+        {
             self.book.unhold(id);
             if !self.send(id, engine, actions) {
                 self.finish(id, actions);
--- a/src/state/book.rs
+++ b/src/state/book.rs
@@ -7,6 +7,8 @@
 pub(crate) struct Book {
     pub queries: BTreeMap<QueryId, Query>,
     pub queues: Vec<BTreeMap<u64, QueryId>>,
+    /// Those of the queues that have had no attempt yet.
+    untried: Vec<BTreeMap<u64, QueryId>>,
     pub due: BTreeSet<(Micros, QueryId)>,
     pub held: usize,
     pub held_work: f64,
@@ -24,7 +26,8 @@
 
 impl Book {
     pub fn new(classes: usize) -> Self {
-        Book { queues: vec![BTreeMap::new(); classes], out: vec![0; classes], ..Book::default() }
+        let queues = vec![BTreeMap::new(); classes];
+        Book { untried: queues.clone(), queues, out: vec![0; classes], ..Book::default() }
     }
 
     pub fn get(&self, id: QueryId) -> Option<&Query> {
@@ -55,12 +58,12 @@
 
     /// How many queries were taken after a time.
     pub fn taken_since(&self, time: Micros) -> f64 {
-        self.taken.iter().rev().take_while(|t| **t > time).count() as f64
+        (self.taken.len() - self.taken.partition_point(|t| *t <= time)) as f64
     }
 
     /// How many further attempts have left since a time.
     pub fn extra_since(&self, time: Micros) -> f64 {
-        self.extra.iter().rev().take_while(|t| **t >= time).count() as f64
+        (self.extra.len() - self.extra.partition_point(|t| *t < time)) as f64
     }
 
     /// Marks the attempt that is out as silent.
@@ -82,6 +85,9 @@
     pub fn enqueue(&mut self, id: QueryId) {
         if let Some(q) = self.queries.get(&id).filter(|q| q.held) {
             self.queues[q.slot].insert(q.seq, id);
+            if q.attempts == 0 {
+                self.untried[q.slot].insert(q.seq, id);
+            }
         }
     }
 
@@ -89,6 +95,7 @@
         if let Some(q) = self.queries.get_mut(&id).filter(|q| q.held) {
             q.held = false;
             self.queues[q.slot].remove(&q.seq);
+            self.untried[q.slot].remove(&q.seq);
             self.held -= 1;
             self.held_work = if self.held == 0 { 0.0 } else { self.held_work - q.work };
         }
@@ -107,9 +114,11 @@
         }
     }
 
-    /// The oldest of each queue, the oldest of them first.
-    pub fn heads(&self) -> Vec<QueryId> {
-        let mut heads: Vec<_> = self.queues.iter().filter_map(BTreeMap::first_key_value).collect();
+    /// The oldest of each queue, the oldest of them first. Where no query may be sent again, the oldest that
+    /// have had no attempt yet: one that waits for the resend budget must not keep those behind it waiting.
+    pub fn heads(&self, may_resend: bool) -> Vec<QueryId> {
+        let queues = if may_resend { &self.queues } else { &self.untried };
+        let mut heads: Vec<_> = queues.iter().filter_map(BTreeMap::first_key_value).collect();
         heads.sort_unstable();
         heads.into_iter().map(|(_, id)| *id).collect()
     }
--- /dev/null
+++ b/tests/resend_budget.rs
@@ -0,0 +1,95 @@
+//! Queries that wait for the resend budget, and those that wait behind them.
+
+mod common;
+
+use std::collections::{BTreeMap, VecDeque};
+
+use common::*;
+use linnetreach::interface::{EngineId, Outcome, QueryId, ResendBudget};
+use linnetreach::Action;
+
+/// Two threads and one further attempt in 5 s, which query 1 has used; it now waits to be sent a third time.
+fn spent_budget() -> Bench {
+    let mut s = settings(vec![class(10 * S)], 1.0);
+    s.resend_budget = Some(ResendBudget { free: 1.0, share: 0.0, span: 5 * S });
+    let mut b = Bench::new(s, vec![engine(0)]);
+    assert_eq!(sent(&b.ask(query(1, 100 * MS)), 1), Some(0));
+    assert_eq!(sent(&b.end(1, 0, 0, Outcome::Superseded), 1), Some(0), "the budget allows one");
+    assert_eq!(sent(&b.end(1, 1, 0, Outcome::Superseded), 1), None, "and no second one");
+    b
+}
+
+fn asked(b: &mut Bench, id: QueryId) -> Vec<Action> {
+    b.ask(query(id, 100 * MS))
+}
+
+#[test]
+fn a_query_without_resend_budget_does_not_shut_out_first_attempts() {
+    let mut b = spent_budget();
+    for id in 2..=3 {
+        assert_eq!(sent(&asked(&mut b, id), id), Some(0), "query {id}: the engine is free");
+    }
+    // Both threads are taken: the next two wait, and each takes the place of one that is answered.
+    for id in 4..=5 {
+        assert_eq!(sent(&asked(&mut b, id), id), None);
+        assert_eq!(sent(&b.end(id - 2, 0, 0, Outcome::Completed), id), Some(0), "query {id}");
+    }
+}
+
+#[test]
+fn a_query_sent_again_comes_first_once_there_is_budget() {
+    let mut b = spent_budget();
+    asked(&mut b, 2);
+    asked(&mut b, 3);
+    assert_eq!(sent(&asked(&mut b, 4), 4), None);
+    b.now += 6 * S;
+    let actions = b.end(2, 0, 0, Outcome::Completed);
+    assert_eq!((sent(&actions, 1), sent(&actions, 4)), (Some(0), None), "query 1 is the oldest");
+}
+
+/// What is out, by query: the number of its attempt, and where it is.
+#[derive(Default)]
+struct Out {
+    attempts: BTreeMap<QueryId, u32>,
+    out: VecDeque<(QueryId, EngineId)>,
+}
+
+impl Out {
+    fn take(&mut self, actions: &[Action]) {
+        for action in actions {
+            if let Action::Send { query, engine, .. } = action {
+                *self.attempts.entry(*query).or_default() += 1;
+                self.out.push_back((*query, *engine));
+            }
+        }
+    }
+
+    fn end(&mut self, b: &mut Bench, outcome: Outcome) -> bool {
+        let Some((id, engine)) = self.out.pop_front() else { return false };
+        let actions = b.end_after(id, self.attempts[&id] - 1, engine, outcome, MS);
+        self.take(&actions);
+        true
+    }
+}
+
+#[test]
+fn a_closed_loop_goes_on_while_some_of_its_queries_wait_for_budget() {
+    let mut s = settings(vec![class(10 * S)], 8.0);
+    s.resend_budget = Some(ResendBudget { free: 3.0, share: 0.1, span: 5 * S });
+    let mut b = Bench::new(s, (0..4).map(engine).collect());
+    let mut out = Out::default();
+    for id in 1..=100 {
+        out.take(&asked(&mut b, id));
+    }
+    // All that is out at first is lost before it began: more than the budget allows to send again.
+    for _ in 0..out.out.len() {
+        out.end(&mut b, Outcome::Superseded);
+    }
+    let mut answered = 0;
+    while answered < 1000 && out.end(&mut b, Outcome::Completed) {
+        answered += 1;
+        b.now += MS;
+        out.take(&asked(&mut b, 100 + answered));
+    }
+    assert_eq!(answered, 1000, "the loop stands still though the engines are free");
+}
