--- /dev/null
+++ b/benches/decisions.rs
@@ -0,0 +1,127 @@
+//! What a statement and a patch of the engine list cost the decisions, by the number of engines: `cargo bench`.
+
+use std::collections::VecDeque;
+use std::hint::black_box;
+
+use criterion::{criterion_group, criterion_main, BenchmarkId, Criterion};
+use linnetreach::interface::{
+    Class, Cost, Ended, Engine, EngineId, EngineState, Kind, ListScope, Load, Micros, NewQuery, Outcome,
+    QueryId, ResendBudget,
+};
+use linnetreach::{Action, Event, Gateway, Settings};
+
+const SECOND: Micros = 1_000_000;
+/// Statements that a front end of the fleet ahead gets in a second.
+const STATEMENTS_PER_SECOND: u64 = 1_842;
+/// Statements that are out at a time.
+const OUT: usize = 20;
+/// What a statement costs an engine.
+const WORK: Micros = 10_000;
+
+/// A gateway with statements out, on injected time.
+struct Loop {
+    gateway: Gateway,
+    now: Micros,
+    next: QueryId,
+    out: VecDeque<(QueryId, EngineId)>,
+    actions: Vec<Action>,
+}
+
+fn engine(id: EngineId) -> Engine {
+    Engine { id, zone: id % 10, kind: 0, cell: 0, state: EngineState::Ready, started: None }
+}
+
+fn settings(gateways: u32) -> Settings {
+    let class = Class {
+        deadline: Some(10 * SECOND),
+        aim: Some(SECOND),
+        late_worth: Some(0.5),
+        threads: Some(1.0),
+        ..Class::default()
+    };
+    Settings {
+        gateways: Some(gateways),
+        zone: Some(3),
+        classes: vec![class],
+        kinds: vec![Kind { cores: Some(64.0), memory_mb: None }],
+        can_cancel: true,
+        max_attempts: Some(5),
+        resend_budget: Some(ResendBudget { free: 3.0, share: 0.1, span: 5 * SECOND }),
+        ..Settings::default()
+    }
+}
+
+impl Loop {
+    fn new(engines: u32, gateways: u32) -> Self {
+        let mut gateway = Gateway::new(settings(gateways), 7);
+        let list = Event::Engines { scope: ListScope::Whole, engines: (0..engines).map(engine).collect() };
+        gateway.handle(SECOND, &[list], &mut Vec::new());
+        let mut all = Loop { gateway, now: SECOND, next: 0, out: VecDeque::new(), actions: Vec::new() };
+        // As it is after some seconds of the same traffic.
+        (0..5 * STATEMENTS_PER_SECOND).for_each(|_| all.statement());
+        all
+    }
+
+    /// One statement arrives; where so many are out, the oldest ends.
+    fn statement(&mut self) {
+        self.now += SECOND / STATEMENTS_PER_SECOND;
+        self.next += 1;
+        let asked =
+            NewQuery { id: self.next, work: Some(WORK), time_left: 10 * SECOND, ..NewQuery::default() };
+        self.handle(Event::Arrived(asked));
+        if self.out.len() >= OUT {
+            if let Some((query, engine)) = self.out.pop_front() {
+                self.handle(Event::Ended(Ended {
+                    query,
+                    attempt: 0,
+                    engine,
+                    outcome: Outcome::Completed,
+                    settled: true,
+                    elapsed: WORK,
+                    cost: Some(Cost { work: WORK, memory_mb: 1.0 }),
+                    load: Load::default(),
+                }));
+            }
+        }
+    }
+
+    fn patch(&mut self, id: EngineId) {
+        let started = Some(self.now);
+        let engines = vec![Engine { started, ..engine(id) }];
+        self.handle(Event::Engines { scope: ListScope::Patch, engines });
+    }
+
+    fn handle(&mut self, event: Event) {
+        self.actions.clear();
+        self.gateway.handle(self.now, black_box(&[event]), &mut self.actions);
+        let sent = self.actions.iter().filter_map(|action| match action {
+            Action::Send { query, engine, .. } => Some((*query, *engine)),
+            _ => None,
+        });
+        self.out.extend(sent);
+    }
+}
+
+fn decisions(criterion: &mut Criterion) {
+    for gateways in [300, 7_600] {
+        let mut group = criterion.benchmark_group(format!("{gateways} gateways"));
+        for engines in [80, 300, 1_000, 4_000, 12_000] {
+            group.bench_function(BenchmarkId::new("statement", engines), |b| {
+                let mut all = Loop::new(engines, gateways);
+                b.iter(|| all.statement());
+            });
+            group.bench_function(BenchmarkId::new("patch", engines), |b| {
+                let mut all = Loop::new(engines, gateways);
+                let mut id = 0;
+                b.iter(|| {
+                    id = (id + 1) % engines;
+                    all.now += SECOND / STATEMENTS_PER_SECOND;
+                    all.patch(id);
+                });
+            });
+        }
+    }
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,10 +4,11 @@
 //! [`Gateway`] does no input or output and keeps no clock. An embedding feeds it [`Event`]s with the time
 //! at which they happened and carries out the [`Action`]s that it returns. See [`interface`] for an example.
 
+mod gateway;
 pub mod interface;
 pub mod rules;
 mod state;
 pub mod wire;
 
+pub use gateway::Gateway;
 pub use interface::{Action, Event, Settings};
-pub use rules::Gateway;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,16 +4,14 @@
 //! one queue per class, a logistic coin on the predicted wait admits them, and the oldest fitting head goes
 //! to the engine with most free threads. `docs/design.md` lists every exception and when it acts.
 
-use std::collections::BTreeMap;
-
-use rand_chacha::rand_core::{RngCore, SeedableRng};
-use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::RngCore;
 
+pub use crate::gateway::Gateway;
 use crate::interface::{
-    Action, Class, Cost, DedupGroup, Effect, Ended, Engine, EngineId, EngineState, Event, ListScope, Load,
-    Micros, NewQuery, Outcome, Progress, QueryId, Settings,
+    Action, Cost, DedupGroup, Effect, Ended, Engine, EngineId, EngineState, Event, Kind, ListScope, Load,
+    Micros, NewQuery, Outcome, Progress, QueryId,
 };
-use crate::state::{lot, micros, secs, Attempt, Book, Fleet, Health, Learned, Node, Query};
+use crate::state::{lot, micros, secs, Attempt, Counts, Health, Node, Query};
 
 mod attempts;
 mod fleet;
@@ -43,7 +41,7 @@
 /// In note periods: time in which a report fades.
 const FADE: f64 = 4.0;
 /// In note periods: time between looks at held queries, a full engine's rest, that of one with a line.
-const LOOK_EVERY: f64 = 0.05;
+pub(crate) const LOOK_EVERY: f64 = 0.05;
 const FULL_REST: f64 = 0.25;
 const LINE_REST: f64 = 1.2;
 /// Memory of mu in units of the classes' mean work, and the part of it that its start at 1 weighs.
@@ -101,44 +99,22 @@
 /// Engines near it that a gateway keeps to while they are free, where its part of each is under a query: its
 /// connections and what it learns would be old before it came again. It hurts where few of them are good.
 const HOMES: f64 = 10.0;
+/// A home more for so many queries a second: each is then met often enough for its connection to be of use.
+const HOME_RATE: f64 = 8.0;
+/// Up to so many engines, each query looks at all. Of more, so many are drawn at a time, each time among so
+/// many times as many, and all are searched so often at most.
+const ALL_LOOKED_AT: usize = 128;
+const DRAWN: usize = 16;
+const WIDER: usize = 4;
+const SEARCH_EVERY: Micros = 10_000;
+/// Age at which what holds for the whole of many engines is made anew.
+const SURVEY_AGE: Micros = 100_000;
 /// The part of a base bound up to which an engine counts as lightly used.
 const ALONE: f64 = 0.4;
 /// Expected work of a class of which nothing is known, as a share of its aim.
 const BLIND_WORK: f64 = 0.2;
 
-/// The decisions of one gateway.
-#[derive(Debug)]
-pub struct Gateway {
-    s: Settings,
-    gateways: f64,
-    rng: ChaCha8Rng,
-    now: Micros,
-    nodes: BTreeMap<EngineId, Node>,
-    book: Book,
-    learned: Vec<Learned>,
-    fleet: Fleet,
-    own: u64,
-}
-
 impl Gateway {
-    /// Creates a gateway that knows no engines yet.
-    #[must_use]
-    pub fn new(mut settings: Settings, seed: u64) -> Self {
-        settings.classes.push(Class::default());
-        let classes = settings.classes.len();
-        Gateway {
-            gateways: f64::from(settings.gateways.unwrap_or(1).max(1)),
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            own: seed,
-            now: 0,
-            nodes: BTreeMap::new(),
-            book: Book::new(classes),
-            learned: vec![Learned::default(); classes],
-            fleet: Fleet::default(),
-            s: settings,
-        }
-    }
-
     /// Takes what happened at `now` and appends what is to be done about it.
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now.max(self.now);
@@ -173,34 +149,6 @@
         self.ask_wake(actions);
     }
 
-    fn ask_wake(&mut self, actions: &mut Vec<Action>) {
-        // Room can also open by itself: a rest ends, a line empties, a cold engine bears more.
-        let held = self.book.queues.iter().any(|q| !q.is_empty());
-        let soon = if held { self.now + self.periods(LOOK_EVERY) } else { Micros::MAX };
-        let at = self.book.due.first().map_or(soon, |due| due.0.min(soon)).max(self.now + 1);
-        if at < self.book.wake.filter(|w| *w > self.now).unwrap_or(Micros::MAX) {
-            self.book.wake = Some(at);
-            actions.push(Action::Wake { at });
-        }
-    }
-
-    fn class_of(&self, q: &Query) -> &Class {
-        &self.s.classes[q.slot]
-    }
-
-    /// The pace of news: the note period, else the shortest aim or deadline.
-    fn period(&self) -> Micros {
-        self.s.note_period.unwrap_or(self.shortest_aim()).max(1)
-    }
-
-    fn shortest_aim(&self) -> Micros {
-        self.s.classes.iter().filter_map(|c| c.aim.or(c.deadline)).min().unwrap_or(1_000_000)
-    }
-
-    fn periods(&self, share: f64) -> Micros {
-        micros(share * secs(self.period())).max(1)
-    }
-
     fn mu(&self) -> f64 {
         let work: f64 = self.learned.iter().filter_map(|l| l.work.known()).sum::<f64>().max(1e-3);
         let prior = work * MU_MEMORY * MU_START;
--- a/src/rules/fleet.rs
+++ b/src/rules/fleet.rs
@@ -30,12 +30,22 @@
     }
 
     /// In use and not ejected; where most look bad, the cause is shared and ejecting would leave nobody.
-    pub(super) fn healthy(&self, n: &Node) -> bool {
+    pub(crate) fn healthy(&self, n: &Node) -> bool {
         n.in_use() && (!n.health.ejected || self.fleet.mostly_bad)
     }
 
-    /// What holds for the whole fleet at this moment.
+    /// What holds for the whole fleet at this moment; over many engines it is at most SURVEY_AGE old.
     pub(super) fn survey(&mut self) {
+        if self.nodes.len() <= ALL_LOOKED_AT || self.now >= self.fleet.surveyed_at + SURVEY_AGE {
+            self.fleet.surveyed_at = self.now;
+            self.survey_all();
+        }
+        let (dt, most) = (secs(self.now - self.fleet.credit_at), self.fleet.room * secs(self.shortest_aim()));
+        let credit = self.fleet.credit + (self.fleet.room - self.book.threads_out.iter().sum::<f64>()) * dt;
+        (self.fleet.credit, self.fleet.credit_at) = (credit.clamp(-DEBT * most, most), self.now);
+    }
+
+    fn survey_all(&mut self) {
         let span = self.s.fall.unwrap_or(0).max(1);
         for n in self.nodes.values_mut().filter(|n| n.chance_until <= self.now) {
             let new = n.chance_until == 0;
@@ -43,14 +53,16 @@
             n.chance = rarer * f64::from(self.rng.next_u32()) / f64::from(u32::MAX);
             n.chance_until = self.now + until.max(1);
         }
-        let ready = || self.nodes.values().filter(|n| n.in_use());
-        self.fleet.mostly_bad = 2 * ready().filter(|n| n.health.ejected).count() > ready().count();
-        let healthy = || ready().filter(|n| self.healthy(n));
-        let open = healthy().filter(|n| n.line_until <= self.now).map(|n| self.bound(n)).sum();
-        (self.fleet.room, self.fleet.open) = (healthy().map(|n| self.bound(n)).sum(), open);
-        let (dt, most) = (secs(self.now - self.fleet.credit_at), self.fleet.room * secs(self.shortest_aim()));
-        let credit = self.fleet.credit + (self.fleet.room - self.book.threads_out.iter().sum::<f64>()) * dt;
-        (self.fleet.credit, self.fleet.credit_at) = (credit.clamp(-DEBT * most, most), self.now);
+        let counts = Counts::of(self.nodes.values(), false);
+        self.fleet.mostly_bad = 2 * counts.ejected > counts.in_use;
+        let all = self.fleet.mostly_bad.then(|| Counts::of(self.nodes.values(), true));
+        let (mut room, mut open) = (0.0, 0.0);
+        for n in self.nodes.values().filter(|n| self.healthy(n)) {
+            let bound = self.bound(n);
+            room += bound;
+            open += if n.line_until <= self.now { bound } else { 0.0 };
+        }
+        (self.fleet.room, self.fleet.open, self.fleet.counts) = (room, open, all.unwrap_or(counts));
     }
 
     pub(super) fn bound(&self, n: &Node) -> f64 {
@@ -74,6 +86,8 @@
             actions.push(Action::Follow);
         }
         if matches!(scope, ListScope::Whole | ListScope::Stale) {
+            self.order.clear();
+            self.fleet.surveyed_at = 0;
             for n in self.nodes.values_mut() {
                 n.listed.state = EngineState::Gone;
             }
@@ -89,6 +103,7 @@
             }
             (node.listed, node.barred) = (*e, self.fleet.barred.contains(&e.id));
             self.nodes.insert(e.id, node);
+            self.order.set(e);
         }
         self.survey();
     }
@@ -108,14 +123,6 @@
         }
     }
 
-    /// How many engines are listed, and how many of those are avoided: called out, or ejected.
-    #[must_use]
-    pub fn listed(&self) -> (usize, usize) {
-        let listed = || self.nodes.values().filter(|n| n.listed.state != EngineState::Gone);
-        let ejected = |n: &&Node| n.listed.state == EngineState::Ready && !self.healthy(n);
-        (listed().count(), listed().filter(|n| n.barred || ejected(n)).count())
-    }
-
     /// An attempt's pace tells of its engine; less where it yields to others by its priority.
     pub(super) fn paced(&mut self, engine: EngineId, priority: u8, pace: f64, gain: f64) {
         let weight = if self.s.priorities { SHARES[usize::from(priority)] / SHARES[3] } else { 1.0 };
@@ -163,7 +170,7 @@
     /// the ration, since each at a bad engine takes a further attempt, and all gateways make them.
     fn rest(&self) -> Micros {
         let Some(b) = self.s.resend_budget else { return self.periods(REST) };
-        let ejected = 1 + self.nodes.values().filter(|n| n.in_use() && n.health.ejected).count();
+        let ejected = 1 + self.counts().ejected;
         let ration = b.free + b.share * self.book.taken_since(self.now.saturating_sub(b.span));
         self.periods(REST).max(micros(ejected as f64 * secs(b.span) / (TRIALS * ration.max(1.0))))
     }
@@ -180,9 +187,8 @@
 
     /// Whether enough engines serve a class for it to shun the others; else the cause is shared.
     pub(super) fn others_serve(&self, slot: usize) -> bool {
-        let healthy = || self.nodes.values().filter(|n| self.healthy(n));
-        let serve = |n: &&Node| n.class_health.get(&slot).is_none_or(|h| !h.ejected);
-        LEAST_SERVING * healthy().filter(serve).count() >= healthy().count()
+        let counts = self.counts();
+        LEAST_SERVING * counts.serving(slot) >= counts.healthy
     }
 }
 
--- a/src/rules/placing.rs
+++ b/src/rules/placing.rs
@@ -25,21 +25,59 @@
         }
     }
 
-    /// The fitting engine with most free threads; ties at random; the one just tried comes last.
+    /// Whether engines are so few, or this gateway's part of each so large, that each query looks at all.
+    pub(crate) fn looks_at_all(&self) -> bool {
+        let part = |k: &Kind| self.base_bound(k.cores.unwrap_or(1.0)) < 1.0;
+        self.nodes.len() <= ALL_LOOKED_AT || !self.s.kinds.iter().all(part)
+    }
+
+    /// The engine that a query goes to. Of many, a few are drawn among homes, as many as the rate keeps in
+    /// use, then among ever more until one is idle. It hurts where those that fit are rare.
     pub(super) fn choose(&mut self, id: QueryId) -> Option<EngineId> {
-        let q = self.book.get(id).filter(|q| self.fleet_bears(q))?;
+        self.book.get(id).filter(|q| self.fleet_bears(q))?;
+        if self.looks_at_all() {
+            let zone = self.s.zone;
+            let near = |n: &&Node| zone.is_none_or(|z| z == n.listed.zone) && self.healthy(n);
+            return self.best(id, None, self.nodes.values().filter(near).count() as f64).0;
+        }
+        let span = self.s.resend_budget.map_or(1.0, |b| secs(b.span.max(1)));
+        let homes = (self.book.taken.len() as f64 / span / HOME_RATE).max(HOMES) as usize;
+        let mut found = None;
+        for near in [true, false] {
+            let (mut among, listed) = (homes, self.order.len(near));
+            while among < WIDER * listed {
+                let drawn = self.order.draw(near, among, DRAWN, &mut self.rng);
+                let (best, idle) = self.best(id, Some(drawn), 0.0);
+                if idle {
+                    return best;
+                }
+                (found, among) = (best.or(found), WIDER * among);
+            }
+        }
+        if found.is_none() && self.now >= self.fleet.searched_at + SEARCH_EVERY {
+            self.fleet.searched_at = self.now;
+            found = self.best(id, None, f64::MAX).0;
+        }
+        found
+    }
+
+    /// The fitting engine with most free threads, of those drawn or of all, and whether it is idle and not
+    /// the one just tried, which comes last; ties at random.
+    fn best(&mut self, id: QueryId, drawn: Option<Vec<EngineId>>, around: f64) -> (Option<EngineId>, bool) {
+        let Some(q) = self.book.get(id) else { return (None, false) };
         let mut best: Vec<EngineId> = Vec::new();
         let near = |n: &Node| self.s.zone.is_none_or(|z| z == n.listed.zone);
-        let around = self.nodes.values().filter(|n| near(n) && self.healthy(n)).count();
         let mut most = (false, false, f64::NEG_INFINITY, false, false, 0.0, 0.0);
-        for (&e, n) in &self.nodes {
+        let all = drawn.is_none().then_some(&self.nodes).into_iter().flatten();
+        let some = drawn.iter().flatten().filter_map(|e| self.nodes.get_key_value(e));
+        for (&e, n) in all.chain(some) {
             if !self.legal(q, n) || !self.fits(q, n) {
                 continue;
             }
             // Bounds under a thread count by chance of that size: else all choose the largest kind.
             let (bound, part) = (self.bound(n), self.base_bound(n.cores) < 1.0);
             let draw = if part { f64::from(self.rng.next_u32()) + 0.5 } else { 1.0 };
-            let home = part && lot(self.own, e) * (around as f64) < HOMES;
+            let home = part && lot(self.own, e) * around < HOMES;
             // Its chance paces a cold engine already where this gateway's part is less than a query.
             let weight = bound / self.warmth(n).max(1e-3);
             // Free threads count against the base; a widened bound says only whether a query fits. Else the
@@ -60,7 +98,7 @@
             }
         }
         let draw = if best.len() > 1 { self.rng.next_u32() as usize % best.len() } else { 0 };
-        best.get(draw).copied()
+        (best.get(draw).copied(), most.0 && most.2 >= 0.0)
     }
 
     /// By how much an engine was last seen easier than usual; it fades, since all gateways act on it.
@@ -201,7 +239,7 @@
         let mean = ((spread * spread + 1.0).sqrt() - spread).powi(2) * bears;
         // Where costs are told, work is known well enough to need no further margin.
         let margin = if self.learned[q.slot].work_ratio.known().is_some() { 1.0 } else { COLD_MARGIN };
-        sent <= 0.0 && n.chance < margin * mean / (self.gateways * work)
+        sent <= 0.0 && n.chance_until > self.now && n.chance < margin * mean / (self.gateways * work)
     }
 
     /// Rule 7.
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,8 +5,12 @@
 use crate::interface::{Engine, EngineId, EngineState, Micros, NewQuery, QueryId};
 
 mod book;
+mod counts;
+mod order;
 
 pub(crate) use book::Book;
+pub(crate) use counts::Counts;
+pub(crate) use order::Order;
 
 /// Microseconds as seconds.
 pub(crate) fn secs(t: Micros) -> f64 {
@@ -240,6 +244,12 @@
     pub credit_at: Micros,
     /// Logarithm of the moving pace of answers, whichever engine gave them.
     pub pace: f64,
+    /// When what holds for the whole fleet was last made anew.
+    pub surveyed_at: Micros,
+    /// When all engines were last searched for one that fits.
+    pub searched_at: Micros,
+    /// The engines as they were last counted.
+    pub counts: Counts,
     /// Over half of the listed engines are ejected.
     pub mostly_bad: bool,
     /// Threads that all ready engines together are taken to bear from this gateway.
