--- a/cluster/distribution/src/lib.rs
+++ b/cluster/distribution/src/lib.rs
@@ -19,7 +19,7 @@
     EntryChange, FromObserver, FromSubscriber, ObserverWelcome, Progress, Refusal, SnapshotPlace,
     SubscriberHello, LONGEST_MESSAGE, MAGIC, VERSION,
 };
-pub use observer::{ConnectionId, Observer, ObserverAction, ObserverConfig, ReadId};
-pub use progress::{FleetProgress, FleetTotals, ProgressSummary, LAGGARDS};
+pub use observer::{ConnectionId, Observer, ObserverAction, ObserverConfig, ObserverSizes, ReadId};
+pub use progress::{FleetProgress, FleetTotals, InForce, ProgressSummary, LAGGARDS};
 pub use replica::Replica;
 pub use subscriber::{Subscriber, SubscriberAction, SubscriberConfig};
--- a/cluster/distribution/src/message.rs
+++ b/cluster/distribution/src/message.rs
@@ -1,6 +1,8 @@
 //! The messages between a front end (the subscriber) and an observer. A connection carries one greeting each way and
 //! then messages in both directions, framed as between members (a length of four bytes, then postcard).
 
+use std::sync::Arc;
+
 use serde::{Deserialize, Serialize};
 use violetgate_consensus::NodeId;
 use violetgate_state::Revision;
@@ -186,8 +188,8 @@
         after: Revision,
         /// The revision that it holds after them.
         to: Revision,
-        /// The changes.
-        changes: Vec<EntryChange>,
+        /// The changes; one copy in memory for all subscribers that are sent them.
+        changes: Arc<[EntryChange]>,
     },
     /// Changes after the wanted revision are compacted away: a snapshot has to come first.
     Compacted {
--- a/cluster/distribution/src/replica.rs
+++ b/cluster/distribution/src/replica.rs
@@ -4,6 +4,8 @@
 
 use violetgate_state::{Entries, Revision};
 
+use crate::message::EntryChange;
+
 /// The entries of one revision.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Replica {
@@ -11,6 +13,30 @@
     entries: BTreeMap<String, (Revision, Vec<u8>)>,
 }
 
+impl Replica {
+    /// A replica of a whole snapshot.
+    pub(crate) fn of_snapshot(revision: Revision, entries: BTreeMap<String, (Revision, Vec<u8>)>) -> Self {
+        Replica { revision, entries }
+    }
+
+    /// Applies the changes that are newer than this replica, which then stands at `to`. The caller has checked that
+    /// they go on from its revision.
+    pub(crate) fn apply(&mut self, to: Revision, changes: &[EntryChange]) {
+        let held = self.revision;
+        for change in changes.iter().filter(|change| change.revision > held) {
+            match &change.value {
+                Some(value) => {
+                    self.entries.insert(change.key.clone(), (change.revision, value.clone()));
+                }
+                None => {
+                    self.entries.remove(&change.key);
+                }
+            }
+        }
+        self.revision = held.max(to);
+    }
+}
+
 impl Entries for Replica {
     fn revision(&self) -> Revision {
         self.revision
