Simulate observers and subscribers, and model the gate with the hop

Needed: proofs for the distribution of agreed state: loss, delay, cuts, stops, deaths, slow readers, compactions. Change: tests/world (network, upstream, checks), tests/simulation.rs, tests/model.rs on the real Observer and Gate, mutants behind the feature of that name.

--- a/cluster/distribution/src/lib.rs
+++ b/cluster/distribution/src/lib.rs
@@ -10,6 +10,7 @@
 //! Neither reads a clock, opens a socket or decides about a request.
 
 mod message;
+mod mutant;
 mod observer;
 mod progress;
 mod replica;
@@ -19,6 +20,8 @@
     EntryChange, FromObserver, FromSubscriber, ObserverWelcome, Progress, Refusal, SnapshotPlace,
     SubscriberHello, LONGEST_MESSAGE, MAGIC, VERSION,
 };
+#[doc(hidden)]
+pub use mutant::Mutant;
 pub use observer::{ConnectionId, Observer, ObserverAction, ObserverConfig, ObserverSizes, ReadId};
 pub use progress::{FleetProgress, FleetTotals, InForce, ProgressSummary, LAGGARDS};
 pub use replica::Replica;
--- a/cluster/distribution/src/message.rs
+++ b/cluster/distribution/src/message.rs
@@ -15,7 +15,7 @@
 pub const LONGEST_MESSAGE: usize = 16 << 20;
 
 /// What a subscriber says first on a connection.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SubscriberHello {
     /// [`MAGIC`].
     pub magic: [u8; 4],
@@ -32,7 +32,7 @@
 }
 
 /// The observer's answer to the greeting.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ObserverWelcome {
     /// Why the subscriber is turned away; `None`: messages may follow.
     pub refused: Option<Refusal>,
@@ -45,7 +45,7 @@
 }
 
 /// Why an observer turns a subscriber away or ends its connection. [`Refusal::code`] is the reason code in logs.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
 pub enum Refusal {
     /// The greeting is not one of this protocol.
     #[error("this is no subscriber: check that the address is an observer's subscriber address")]
@@ -126,7 +126,7 @@
 }
 
 /// One entry as a revision left it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct EntryChange {
     /// The revision that made the change.
     pub revision: Revision,
@@ -137,7 +137,7 @@
 }
 
 /// Where a snapshot is to go on: pieces of one revision are the same at every observer.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct SnapshotPlace {
     /// The revision of the pieces so far.
     pub revision: Revision,
@@ -146,7 +146,7 @@
 }
 
 /// How far a subscriber has got; it travels with each question.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Progress {
     /// The revision that it has applied.
     pub applied: Revision,
@@ -155,7 +155,7 @@
 }
 
 /// What a subscriber says.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum FromSubscriber {
     /// Send every change after this revision from now on (the replica's own revision).
     Watch {
@@ -179,7 +179,7 @@
 }
 
 /// What an observer says.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum FromObserver {
     /// All changes after `after` up to `to`, in order; never part of a revision. Several such messages follow one
     /// another without a gap: each `after` is the `to` before.
--- a/cluster/distribution/src/observer/connection.rs
+++ b/cluster/distribution/src/observer/connection.rs
@@ -9,7 +9,7 @@
 const SECOND: Micros = 1_000_000;
 
 /// Whether a subscriber is sent changes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub(super) enum Watch {
     /// It wants none.
     Off,
@@ -22,13 +22,13 @@
 }
 
 /// A request for a snapshot piece that is not answered yet.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct SnapshotRequest {
     pub from: Option<SnapshotPlace>,
 }
 
 /// Bytes that wait in the carrier, as far as is known: what it reported last, and what was sent since.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct SendQueue {
     pub bytes: usize,
     reported: usize,
@@ -58,7 +58,7 @@
 }
 
 /// One subscriber.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct Connection {
     pub name: String,
     pub watch: Watch,
--- a/cluster/distribution/src/observer/mod.rs
+++ b/cluster/distribution/src/observer/mod.rs
@@ -17,6 +17,7 @@
 use crate::message::{
     FromObserver, FromSubscriber, ObserverWelcome, Refusal, SubscriberHello, MAGIC, VERSION,
 };
+use crate::mutant::Mutant;
 use crate::progress::ProgressSummary;
 use connection::Connection;
 use progress::ProgressTable;
@@ -34,7 +35,7 @@
 const SHORT_MESSAGE: usize = 16;
 
 /// How an observer behaves.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct ObserverConfig {
     /// The cluster's name.
     pub cluster: String,
@@ -73,7 +74,7 @@
 }
 
 /// What the carrier has to do, in this order.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum ObserverAction {
     /// Send this on a connection.
     Send(ConnectionId, FromObserver),
@@ -99,7 +100,7 @@
 }
 
 /// An observer's side of all its subscriptions.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Observer {
     config: ObserverConfig,
     now: Micros,
@@ -116,6 +117,8 @@
     load_at: Micros,
     check_at: Micros,
     out: Vec<ObserverAction>,
+    #[cfg(feature = "mutants")]
+    mutant: Option<Mutant>,
 }
 
 impl Observer {
@@ -134,6 +137,8 @@
             load_at: now.saturating_add(config.load_every),
             check_at: now.saturating_add(limits::CHECK_EVERY),
             out: Vec::new(),
+            #[cfg(feature = "mutants")]
+            mutant: None,
             config,
         }
     }
@@ -228,7 +233,12 @@
                 if known.follows {
                     self.progress.report(now, connection, progress);
                 }
-                self.questions.ask(now, connection, question);
+                if self.mutated(Mutant::AnswersFromOwnCopy) {
+                    let revision = self.revision;
+                    self.send(connection, FromObserver::Confirmed { question, revision }, 0);
+                }
+                let earlier = self.mutated(Mutant::AnswersByEarlierRead);
+                self.questions.ask(now, connection, question, earlier);
             }
             FromSubscriber::StopWatching => {
                 known.follows = false;
@@ -317,4 +327,22 @@
             snapshots: self.snapshots.sizes(),
         }
     }
+
+    /// Has it decide wrongly.
+    #[cfg(feature = "mutants")]
+    #[doc(hidden)]
+    pub fn set_mutant(&mut self, mutant: Option<Mutant>) {
+        self.mutant = mutant;
+    }
+
+    #[cfg(feature = "mutants")]
+    fn mutated(&self, how: Mutant) -> bool {
+        self.mutant == Some(how)
+    }
+
+    #[cfg(not(feature = "mutants"))]
+    #[allow(clippy::unused_self)]
+    fn mutated(&self, _: Mutant) -> bool {
+        false
+    }
 }
--- a/cluster/distribution/src/observer/progress.rs
+++ b/cluster/distribution/src/observer/progress.rs
@@ -18,21 +18,21 @@
 /// The bounds of the ages in [`ProgressSummary::behind`].
 const AGES: [Micros; 3] = [100_000, 1_000_000, 10_000_000];
 
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Report {
     progress: Progress,
     at: Micros,
 }
 
 /// A front end that served here and has left.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Departed {
     applied: Revision,
     until: Micros,
 }
 
 /// The progress of all subscribers that watch here.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub(super) struct ProgressTable {
     reports: BTreeMap<ConnectionId, Report>,
     /// Those that serve, by the revision applied.
--- a/cluster/distribution/src/observer/questions.rs
+++ b/cluster/distribution/src/observer/questions.rs
@@ -66,9 +66,11 @@
         Questions { read_every, waiting: Batch::new(), running: None, last_read: 0, begin_at: now }
     }
 
-    /// A question has arrived.
-    pub fn ask(&mut self, now: Micros, connection: ConnectionId, question: u64) {
-        let asked = self.waiting.entry(connection).or_default();
+    /// A question has arrived. Only a mutant has it answered by a read that began `earlier`.
+    pub fn ask(&mut self, now: Micros, connection: ConnectionId, question: u64, earlier: bool) {
+        let running = self.running.as_mut().filter(|_| earlier);
+        let batch = running.map_or(&mut self.waiting, |read| &mut read.batch);
+        let asked = batch.entry(connection).or_default();
         asked.questions.push_back((question, now));
         asked.keep_newest();
     }
--- a/cluster/distribution/src/observer/snapshots.rs
+++ b/cluster/distribution/src/observer/snapshots.rs
@@ -10,14 +10,14 @@
 const IDLE_FOR: Micros = 5_000_000;
 
 /// A request that waits, with the place that was sent last.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Waiting {
     connection: ConnectionId,
     place_sent: u32,
 }
 
 /// The slots for snapshots, and the queue before them.
-#[derive(Debug)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub(super) struct SnapshotSlots {
     most: usize,
     /// Connections whose snapshots are under way, and when each last asked for a piece.
--- a/cluster/distribution/src/observer/watch.rs
+++ b/cluster/distribution/src/observer/watch.rs
@@ -6,6 +6,7 @@
 use super::connection::Watch;
 use super::{ConnectionId, Observer};
 use crate::message::FromObserver;
+use crate::mutant::Mutant;
 
 impl Observer {
     /// Sends what the store has more than at the last call. It costs as much as there are subscribers that are
@@ -39,6 +40,9 @@
                 self.out.push(super::ObserverAction::Send(*id, batch.message()));
             }
         }
+        if self.mutated(Mutant::SkipsHeldBack) {
+            held_back.clear();
+        }
         for id in held_back {
             self.current.remove(&id);
         }
--- a/cluster/distribution/src/subscriber/follow.rs
+++ b/cluster/distribution/src/subscriber/follow.rs
@@ -6,6 +6,7 @@
 use super::download::Download;
 use super::Subscriber;
 use crate::message::{EntryChange, FromSubscriber, Refusal};
+use crate::mutant::Mutant;
 
 /// After this observer was asked anew, messages that were on their way before may still come during this time.
 const STALE_WITHIN: Micros = 1_000_000;
@@ -56,7 +57,7 @@
         if !in_order(after, to, changes) {
             return self.protocol_error(observer, "changes out of order");
         }
-        if after > held {
+        if after > held && !self.mutated(Mutant::TakesGaps) {
             if self.may_be_stale(observer) {
                 return;
             }
--- a/cluster/distribution/src/subscriber/mod.rs
+++ b/cluster/distribution/src/subscriber/mod.rs
@@ -14,6 +14,7 @@
 use violetgate_state::{Entries, Gate, Micros, Stale};
 
 use crate::message::{FromObserver, FromSubscriber, Progress, Refusal, SubscriberHello};
+use crate::mutant::Mutant;
 use crate::replica::Replica;
 use directory::{draw, Directory};
 use download::Download;
@@ -91,6 +92,8 @@
     /// Connections given up for want of answers since the last answer.
     given_up: u32,
     out: Vec<SubscriberAction>,
+    #[cfg(feature = "mutants")]
+    mutant: Option<Mutant>,
 }
 
 impl Subscriber {
@@ -118,6 +121,8 @@
             pause: first_pause,
             given_up: 0,
             out: Vec::new(),
+            #[cfg(feature = "mutants")]
+            mutant: None,
             config,
         }
     }
@@ -158,6 +163,10 @@
         let Some(link) = self.links.get_mut(&observer) else { return };
         if let Some(gate) = link.answered(question) {
             self.gate.answered(gate, revision);
+            if self.mutated(Mutant::AgeFromAnswer) {
+                let late = self.gate.ask(self.now);
+                self.gate.answered(late, revision);
+            }
         }
         self.directory.proved(observer);
         (self.pause, self.given_up) = (self.config.pause.0, 0);
@@ -212,4 +221,22 @@
     pub fn may_route(&self, now: Micros) -> Result<(), Stale> {
         self.gate.check(now)
     }
+
+    /// Has it decide wrongly.
+    #[cfg(feature = "mutants")]
+    #[doc(hidden)]
+    pub fn set_mutant(&mut self, mutant: Option<Mutant>) {
+        self.mutant = mutant;
+    }
+
+    #[cfg(feature = "mutants")]
+    fn mutated(&self, how: Mutant) -> bool {
+        self.mutant == Some(how)
+    }
+
+    #[cfg(not(feature = "mutants"))]
+    #[allow(clippy::unused_self)]
+    fn mutated(&self, _: Mutant) -> bool {
+        false
+    }
 }
--- /dev/null
+++ b/cluster/distribution/tests/model.rs
@@ -0,0 +1,249 @@
+//! The gate with the hop, in every order of events, by stateright: a drain that is agreed on, an observer that applies
+//! it late, reads upstream that are slow or fail, questions and answers that are late, a front end that stands still.
+//! The very code of [`Observer`] and [`Gate`] runs in the model. Mutants of it have to be caught.
+#![allow(clippy::unwrap_used, clippy::indexing_slicing)]
+
+use std::collections::VecDeque;
+use std::sync::OnceLock;
+
+use stateright::{Checker, Model, Property};
+use violetgate_distribution::*;
+use violetgate_state::{Command, Gate, Op, Step, Store, Txn};
+
+/// The drain limit, in steps of time, and how far time goes.
+const LIMIT: u64 = 2;
+const END: u64 = 5;
+/// Questions that the front end asks at most.
+const QUESTIONS: u64 = 2;
+const CONNECTION: ConnectionId = 1;
+
+/// The store before the drain, or with it.
+fn store(drained: bool) -> &'static Store {
+    static STORES: OnceLock<[Store; 2]> = OnceLock::new();
+    let stores = STORES.get_or_init(|| {
+        let op = Op::Put { key: "drain".to_owned(), value: Vec::new(), lease: None };
+        let step = Step::Txn(Txn { then: vec![op], ..Txn::default() });
+        let mut after = Store::default();
+        after.apply(&Command { request: None, who: "model".to_owned(), time: 0, step });
+        [Store::default(), after]
+    });
+    &stores[usize::from(drained)]
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Hop {
+    mutant: Option<Mutant>,
+}
+
+/// A read upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Read {
+    id: ReadId,
+    /// A majority has vouched, after the read began, that the drain was agreed on, or was not.
+    vouched: Option<bool>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct State {
+    now: u64,
+    drained: Option<u64>,
+    observer: Observer,
+    observer_knows: bool,
+    reads: Vec<Read>,
+    to_observer: VecDeque<u64>,
+    to_front_end: VecDeque<FromObserver>,
+    gate: Gate,
+    front_end_knows: bool,
+    questions: u64,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum Event {
+    Tick,
+    /// The front end stands still for longer than the limit.
+    Sleep,
+    Drain,
+    ApplyAtObserver,
+    Ask,
+    ArriveAtObserver,
+    Vouch(usize),
+    EndRead(usize),
+    FailRead(usize),
+    ArriveAtFrontEnd,
+}
+
+impl State {
+    fn is_open(&self) -> bool {
+        self.gate.check(self.now).is_ok()
+    }
+
+    fn settle(&mut self) {
+        for action in self.observer.actions() {
+            match action {
+                ObserverAction::Send(_, message) => self.to_front_end.push_back(message),
+                ObserverAction::Read(id) => self.reads.push(Read { id, vouched: None }),
+                ObserverAction::Close(..) => {}
+            }
+        }
+        self.observer.queued(CONNECTION, 0, store(self.observer_knows));
+    }
+
+    fn arrive(&mut self, message: FromObserver, mutant: Option<Mutant>) {
+        match message {
+            FromObserver::Changes { to, .. } => {
+                self.front_end_knows = true;
+                self.gate.applied(to);
+            }
+            FromObserver::Confirmed { question, revision } => {
+                if mutant == Some(Mutant::AgeFromAnswer) {
+                    let late = self.gate.ask(self.now);
+                    self.gate.answered(late, revision);
+                }
+                self.gate.answered(question, revision);
+            }
+            _ => {}
+        }
+    }
+}
+
+impl Model for Hop {
+    type State = State;
+    type Action = Event;
+
+    fn init_states(&self) -> Vec<State> {
+        let config = ObserverConfig { read_every: 0, ..ObserverConfig::default_for("model", 1) };
+        let mut observer = Observer::new(config, 0);
+        #[cfg(feature = "mutants")]
+        observer.set_mutant(self.mutant);
+        let hello = SubscriberHello {
+            magic: MAGIC,
+            version: VERSION,
+            cluster: "model".to_owned(),
+            observer: 1,
+            name: "front-end".to_owned(),
+            revision: 0,
+        };
+        assert_eq!(observer.connect(0, CONNECTION, &hello, store(false)).refused, None);
+        observer.receive(0, CONNECTION, FromSubscriber::Watch { after: 0 }, store(false));
+        vec![State {
+            now: 0,
+            drained: None,
+            observer,
+            observer_knows: false,
+            reads: Vec::new(),
+            to_observer: VecDeque::new(),
+            to_front_end: VecDeque::new(),
+            gate: Gate::new(LIMIT),
+            front_end_knows: false,
+            questions: 0,
+        }]
+    }
+
+    fn actions(&self, state: &State, out: &mut Vec<Event>) {
+        out.extend([Event::Tick, Event::Sleep, Event::Drain, Event::ApplyAtObserver, Event::Ask]);
+        out.extend([Event::ArriveAtObserver, Event::ArriveAtFrontEnd]);
+        for n in 0..state.reads.len() {
+            out.extend([Event::Vouch(n), Event::EndRead(n), Event::FailRead(n)]);
+        }
+    }
+
+    fn next_state(&self, last: &State, event: Event) -> Option<State> {
+        let mut s = last.clone();
+        match event {
+            Event::Tick => {
+                s.now += 1;
+                s.observer.tick(s.now, store(s.observer_knows));
+            }
+            Event::Sleep => {
+                s.now += LIMIT + 1;
+                s.observer.tick(s.now, store(s.observer_knows));
+            }
+            Event::Drain => s.drained = Some(s.drained.xor(Some(s.now))?),
+            Event::ApplyAtObserver if s.drained.is_some() && !s.observer_knows => {
+                s.observer_knows = true;
+                s.observer.applied(s.now, store(true));
+            }
+            Event::Ask if s.questions < QUESTIONS => {
+                s.questions += 1;
+                let question = s.gate.ask(s.now);
+                s.to_observer.push_back(question);
+            }
+            Event::ArriveAtObserver => {
+                let question = s.to_observer.pop_front()?;
+                let progress = Progress { applied: 0, serving: false };
+                let message = FromSubscriber::Confirm { question, progress };
+                s.observer.receive(s.now, CONNECTION, message, store(s.observer_knows));
+            }
+            Event::Vouch(n) if s.reads[n].vouched.is_none() => {
+                s.reads[n].vouched = Some(s.drained.is_some());
+            }
+            // It ends once what a majority vouched for is applied at the observer.
+            Event::EndRead(n) => {
+                let vouched = s.reads[n].vouched.filter(|drained| !drained || s.observer_knows);
+                vouched?;
+                let read = s.reads.remove(n);
+                s.observer.read_ended(s.now, read.id, true, store(s.observer_knows));
+            }
+            Event::FailRead(n) => {
+                let read = s.reads.remove(n);
+                s.observer.read_ended(s.now, read.id, false, store(s.observer_knows));
+            }
+            Event::ArriveAtFrontEnd => {
+                let message = s.to_front_end.pop_front()?;
+                s.arrive(message, self.mutant);
+            }
+            Event::ApplyAtObserver | Event::Ask | Event::Vouch(_) => return None,
+        }
+        s.settle();
+        (s != *last).then_some(s)
+    }
+
+    fn within_boundary(&self, state: &State) -> bool {
+        state.now <= END
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(SAFE, |_, s: &State| {
+                let routes = s.is_open() && !s.front_end_knows;
+                !(routes && s.drained.is_some_and(|at| s.now >= at + LIMIT))
+            }),
+            Property::sometimes("it routes", |_, s: &State| s.is_open()),
+            Property::sometimes("it routes on, knowing the drain", |_, s: &State| {
+                s.front_end_knows && s.is_open()
+            }),
+        ]
+    }
+}
+
+const SAFE: &str = "nothing goes to a drained engine past the limit";
+
+#[test]
+fn nothing_goes_out_on_old_state_through_an_observer() {
+    let checker = Hop { mutant: None }.checker().threads(2).spawn_bfs().join();
+    println!("{} states, {} of them different", checker.state_count(), checker.unique_state_count());
+    checker.assert_properties();
+    assert!(checker.unique_state_count() > 10_000);
+}
+
+#[test]
+fn an_age_that_counts_from_the_answer_is_caught() {
+    assert_caught(Mutant::AgeFromAnswer);
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn an_answer_by_an_earlier_read_is_caught() {
+    assert_caught(Mutant::AnswersByEarlierRead);
+}
+
+#[cfg(feature = "mutants")]
+#[test]
+fn an_observer_that_answers_from_its_own_copy_is_caught() {
+    assert_caught(Mutant::AnswersFromOwnCopy);
+}
+
+fn assert_caught(mutant: Mutant) {
+    let checker = Hop { mutant: Some(mutant) }.checker().threads(2).spawn_bfs().join();
+    assert!(checker.discovery(SAFE).is_some(), "{mutant:?} is not caught");
+}
--- /dev/null
+++ b/cluster/distribution/tests/world/check.rs
@@ -0,0 +1,133 @@
+//! What must hold at every step.
+
+use std::collections::hash_map::DefaultHasher;
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+
+use violetgate_distribution::{FromObserver, Refusal};
+use violetgate_state::Entries;
+
+use super::World;
+
+/// What a run was made of.
+#[derive(Debug, Default, Clone)]
+pub struct Seen {
+    pub connections: u64,
+    pub questions: u64,
+    pub reads: u64,
+    pub changes: u64,
+    pub pieces: u64,
+    pub snapshots: u64,
+    pub queued: u64,
+    pub compacted: u64,
+    pub refusals: BTreeMap<&'static str, u64>,
+    pub gates_open: u64,
+    pub gates_shut: u64,
+    pub most_waiting: usize,
+    pub most_snapshots: usize,
+    pub most_snapshots_queued: usize,
+}
+
+impl Seen {
+    pub(super) fn count(&mut self, message: &FromObserver) {
+        match message {
+            FromObserver::Changes { .. } => self.changes += 1,
+            FromObserver::SnapshotPiece { last, .. } => {
+                self.pieces += 1;
+                self.snapshots += u64::from(*last);
+            }
+            FromObserver::SnapshotQueued { .. } => self.queued += 1,
+            FromObserver::Compacted { .. } => self.compacted += 1,
+            _ => {}
+        }
+    }
+
+    pub fn add(&mut self, other: &Seen) {
+        self.connections += other.connections;
+        self.questions += other.questions;
+        self.reads += other.reads;
+        self.changes += other.changes;
+        self.pieces += other.pieces;
+        self.snapshots += other.snapshots;
+        self.queued += other.queued;
+        self.compacted += other.compacted;
+        self.gates_open += other.gates_open;
+        self.gates_shut += other.gates_shut;
+        self.most_waiting = self.most_waiting.max(other.most_waiting);
+        self.most_snapshots = self.most_snapshots.max(other.most_snapshots);
+        self.most_snapshots_queued = self.most_snapshots_queued.max(other.most_snapshots_queued);
+        for (code, count) in &other.refusals {
+            *self.refusals.entry(code).or_default() += count;
+        }
+    }
+}
+
+pub fn fingerprint(entries: &impl Entries) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    entries.entries_below("").hash(&mut hasher);
+    hasher.finish()
+}
+
+impl World {
+    /// A replica is exactly what was agreed at its revision, and never goes back.
+    pub(super) fn check_replica(&mut self, n: usize) {
+        let process = &mut self.subscribers[n];
+        let revision = process.core.replica().revision();
+        if revision != process.last_revision {
+            assert!(revision > process.last_revision, "front end {n} went back to {revision}");
+            process.last_revision = revision;
+            let found = fingerprint(process.core.replica());
+            assert_eq!(found, self.fingerprints[revision as usize], "front end {n} at revision {revision}");
+        }
+        let refusal = self.subscribers[n].core.refusal();
+        assert!(!matches!(refusal, Some(Refusal::Protocol { .. })), "front end {n}: {refusal:?}");
+        self.check_gate(n);
+    }
+
+    /// Whoever's gate is open knows all that was agreed on by a drain limit ago.
+    fn check_gate(&mut self, n: usize) {
+        let process = &self.subscribers[n];
+        if process.core.may_route(self.now).is_err() {
+            self.seen.gates_shut += 1;
+            return;
+        }
+        self.seen.gates_open += 1;
+        let limit = self.subscriber_config.drain_limit;
+        let known = process.core.replica().revision() as usize;
+        if let Some(next) = self.agreed.get(known + 1) {
+            assert!(next + limit > self.now, "front end {n} routes on revision {known}, {next} {}", self.now);
+        }
+    }
+
+    pub(super) fn check_all(&mut self) {
+        (0..self.subscribers.len()).for_each(|n| self.check_gate(n));
+        let config = &self.observer_config;
+        for process in self.observers.values() {
+            let Some(core) = &process.core else { continue };
+            let sizes = core.sizes();
+            assert!(sizes.subscribers <= config.capacity as usize, "{sizes:?}");
+            assert!(sizes.snapshots.0 <= config.snapshots_at_once, "{sizes:?}");
+            assert!(sizes.snapshots.1 + sizes.current + sizes.ahead <= 2 * sizes.subscribers, "{sizes:?}");
+            assert!(sizes.questions.0.max(sizes.questions.1) <= sizes.subscribers, "{sizes:?}");
+            self.seen.most_snapshots = self.seen.most_snapshots.max(sizes.snapshots.0);
+            self.seen.most_snapshots_queued = self.seen.most_snapshots_queued.max(sizes.snapshots.1);
+        }
+        // Changes of one batch, or a piece, beyond the bound, and short messages.
+        let bound = config.queue_bytes + 2 * config.piece_bytes + (16 << 10);
+        assert!(self.seen.most_waiting <= bound, "{} bytes wait, bound {bound}", self.seen.most_waiting);
+    }
+
+    /// Front ends that lack a revision, whose gate is shut, or that hold fewer than two observers.
+    pub fn not_current(&self) -> Vec<usize> {
+        let revision = self.truth.revision();
+        let lacks = |n: &usize| {
+            let core = &self.subscribers[*n].core;
+            let held = core.observers();
+            core.replica().revision() != revision
+                || core.may_route(self.now).is_err()
+                || held.0.is_none()
+                || held.1.is_none()
+        };
+        (0..self.subscribers.len()).filter(lacks).collect()
+    }
+}
--- /dev/null
+++ b/cluster/distribution/tests/world/upstream.rs
@@ -0,0 +1,119 @@
+//! The voters, as an observer sees them: one history of commands that it applies late, and reads that may be slow.
+
+use violetgate_consensus::NodeId;
+use violetgate_distribution::*;
+use violetgate_state::{Command, Op, Step, Txn};
+
+use super::{check, Event, World, MS};
+
+impl World {
+    /// The voters agree on a command.
+    pub fn agree(&mut self, step: Step) {
+        let command = Command { request: None, who: "test".to_owned(), time: self.now, step };
+        self.truth.apply(&command);
+        self.history.push(command);
+        let revision = self.truth.revision() as usize;
+        if self.agreed.len() <= revision {
+            self.agreed.push(self.now);
+            self.fingerprints.push(check::fingerprint(&self.truth));
+        }
+        let ids: Vec<NodeId> = self.observers.keys().copied().collect();
+        ids.into_iter().for_each(|id| self.plan_apply(id));
+    }
+
+    pub fn put(&mut self, keys: &[(u64, usize)]) {
+        let put = |(key, bytes): &(u64, usize)| Op::Put {
+            key: format!("key-{key:03}"),
+            value: vec![(self.now % 251) as u8; *bytes],
+            lease: None,
+        };
+        let then = keys.iter().map(put).collect();
+        self.agree(Step::Txn(Txn { then, ..Txn::default() }));
+    }
+
+    pub(super) fn plan_apply(&mut self, id: NodeId) {
+        let most = self.apply_delay;
+        let at = self.now + 1 + self.random(most);
+        let process = self.observers.get_mut(&id).unwrap();
+        if !process.apply_planned && process.applied < self.history.len() {
+            process.apply_planned = true;
+            self.plan(at, Event::Apply(id));
+        }
+    }
+
+    pub(super) fn apply(&mut self, id: NodeId) {
+        let some = 1 + self.random(4) as usize;
+        let process = self.observers.get_mut(&id).unwrap();
+        process.apply_planned = false;
+        if process.core.is_none() {
+            return;
+        }
+        if process.paused_until > self.now || self.cut_upstream.contains(&id) {
+            process.apply_planned = true;
+            return self.plan(self.now + 50 * MS, Event::Apply(id));
+        }
+        let to = (process.applied + some).min(self.history.len());
+        for command in &self.history[process.applied..to] {
+            process.store.apply(command);
+        }
+        process.applied = to;
+        process.core.as_mut().unwrap().applied(self.now, &process.store);
+        self.end_reads(id);
+        self.plan_apply(id);
+        self.after_observer(id);
+    }
+
+    pub(super) fn begin_read(&mut self, id: NodeId, read: ReadId) {
+        let starts = self.observers[&id].starts;
+        self.seen.reads += 1;
+        let most = self.read_delay;
+        let at = self.now + 1 + self.random(most);
+        if self.cut_upstream.contains(&id) {
+            // Half of them end without an answer, the others never.
+            if self.random(2) == 0 {
+                self.plan(at + 100 * MS, Event::ReadFailed(id, starts, read));
+            }
+        } else if self.random(1_000) < self.reads_fail {
+            self.plan(at, Event::ReadFailed(id, starts, read));
+        } else {
+            self.plan(at, Event::ReadConfirmed(id, starts, read));
+        }
+    }
+
+    pub(super) fn read_confirmed(&mut self, id: NodeId, starts: u64, read: ReadId) {
+        let process = self.observers.get_mut(&id).unwrap();
+        if process.starts != starts || process.core.is_none() {
+            return;
+        }
+        process.reads.push((self.history.len(), read));
+        if process.paused_until <= self.now {
+            self.end_reads(id);
+            self.after_observer(id);
+        }
+    }
+
+    /// Ends the reads for which enough is applied.
+    fn end_reads(&mut self, id: NodeId) {
+        let process = self.observers.get_mut(&id).unwrap();
+        let applied = process.applied;
+        let (done, rest) = process.reads.drain(..).partition(|(index, _)| *index <= applied);
+        process.reads = rest;
+        let done: Vec<(usize, ReadId)> = done;
+        if let Some(core) = &mut process.core {
+            for (_, read) in done {
+                core.read_ended(self.now, read, true, &process.store);
+            }
+        }
+    }
+
+    pub(super) fn read_failed(&mut self, id: NodeId, starts: u64, read: ReadId) {
+        let process = self.observers.get_mut(&id).unwrap();
+        if process.starts != starts {
+            return;
+        }
+        if let Some(core) = &mut process.core {
+            core.read_ended(self.now, read, false, &process.store);
+            self.after_observer(id);
+        }
+    }
+}
