--- a/cluster/distribution/src/observer/batch.rs
+++ b/cluster/distribution/src/observer/batch.rs
@@ -57,12 +57,12 @@
     key.len() + value.map_or(0, <[u8]>::len) + OVERHEAD
 }
 
-/// A piece of a snapshot of about `bytes`, but one entry at least, its size, and whether it is the last one.
+/// A piece of a snapshot of about `bytes`, but one entry at least, and its size.
 pub(super) fn snapshot_piece(
     store: &Store,
     from: Option<&SnapshotPlace>,
     bytes: usize,
-) -> Result<(FromObserver, usize, bool), Compacted> {
+) -> Result<(FromObserver, usize), Compacted> {
     let mut revision = from.map(|place| place.revision);
     let first_after = from.map(|place| place.after.clone());
     let mut after = first_after.clone();
@@ -84,5 +84,5 @@
         }
     }
     let revision = revision.unwrap_or_default();
-    Ok((FromObserver::SnapshotPiece { revision, after: first_after, entries, last }, size, last))
+    Ok((FromObserver::SnapshotPiece { revision, after: first_after, entries, last }, size))
 }
--- a/cluster/distribution/src/observer/limits.rs
+++ b/cluster/distribution/src/observer/limits.rs
@@ -22,13 +22,13 @@
             self.close_stalled();
             self.progress.expire(now);
             self.snapshots.release_idle(now);
+            self.admit_snapshots(store);
             self.send_places();
         }
         if now >= self.load_at {
             self.load_at = now.saturating_add(self.config.load_every);
             self.send_load();
         }
-        self.admit_snapshots(store);
         self.begin_read();
     }
 
--- a/cluster/distribution/src/observer/mod.rs
+++ b/cluster/distribution/src/observer/mod.rs
@@ -97,6 +97,8 @@
     pub questions: (usize, usize),
     /// Snapshots under way, and requests that wait.
     pub snapshots: (usize, usize),
+    /// Front ends that served here and have left of late.
+    pub departed: usize,
 }
 
 /// An observer's side of all its subscriptions.
@@ -325,6 +327,7 @@
             ahead: self.ahead.len(),
             questions: self.questions.sizes(),
             snapshots: self.snapshots.sizes(),
+            departed: self.progress.departed(),
         }
     }
 
--- a/cluster/distribution/src/observer/pieces.rs
+++ b/cluster/distribution/src/observer/pieces.rs
@@ -49,12 +49,9 @@
 
     fn send_piece(&mut self, id: ConnectionId, from: Option<&SnapshotPlace>, store: &Store) {
         match snapshot_piece(store, from, self.config.piece_bytes) {
-            Ok((piece, bytes, last)) => {
-                self.send(id, piece, bytes);
-                if last {
-                    self.snapshots.release(id);
-                }
-            }
+            // The last piece does not free the slot yet: that does the subscriber's next message, which shows that it
+            // has arrived. So what waits for all subscribers at once is bounded.
+            Ok((piece, bytes)) => self.send(id, piece, bytes),
             Err(compacted) => self.send_compacted(id, compacted),
         }
     }
--- a/cluster/distribution/src/observer/progress.rs
+++ b/cluster/distribution/src/observer/progress.rs
@@ -12,9 +12,9 @@
 const REVISION_TIMES: usize = 4_096;
 /// A front end that has not asked for this time does not serve, whatever it reported last: its gate has shut.
 const REPORT_COUNTS: Micros = 3_000_000;
-/// How long a front end that served and has left still counts in the least applied revision. Until then it has
-/// reported to another observer, or its gate has shut.
-const DEPARTED_COUNTS: Micros = 3_000_000;
+/// How long a front end that served and has left still counts in the least applied revision: the drain limit. By then
+/// it has reported to another observer, or its gate has shut.
+const DEPARTED_COUNTS: Micros = 2_000_000;
 /// The bounds of the ages in [`ProgressSummary::behind`].
 const AGES: [Micros; 3] = [100_000, 1_000_000, 10_000_000];
 
@@ -107,6 +107,11 @@
         }
     }
 
+    /// How many of the departed are kept.
+    pub fn departed(&self) -> usize {
+        self.departed.len()
+    }
+
     /// The sum. `name` tells the names of the laggards.
     pub fn summary(
         &self,
--- a/cluster/distribution/src/progress.rs
+++ b/cluster/distribution/src/progress.rs
@@ -31,9 +31,9 @@
 const MOST_OBSERVERS: usize = 256;
 /// The most revisions of which it is kept when they were known and when they were in force.
 const MOST_RECORDS: usize = 4_096;
-/// How long a silent observer's last report still holds back what counts as in force. An observer that can't reach
-/// the cluster confirms nothing, so its front ends have stopped routing, or follow another one, long before.
-const SILENT_HOLDS: Micros = 30_000_000;
+/// How long after an observer's last report it still holds back what counts as in force. An observer that can't reach
+/// the cluster confirms nothing: by then its front ends' gates have shut (2 s), or they have reported to another one.
+const SILENT_HOLDS: Micros = 5_000_000;
 
 /// When a revision was in force at all serving front ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -98,8 +98,8 @@
     /// The sum. Reports older than `fresh` count as silent: their front ends are not counted.
     ///
     /// [`FleetTotals::in_force`] never says more than was reported: a silent observer's last report holds it back for
-    /// 30 s more, and it is 0 where no front end is known to serve. It may go back when a front end that is behind
-    /// begins to serve, or an observer speaks again.
+    /// 5 s from when it came, or for `fresh` if that is longer, and it is 0 where no front end is known to serve. It
+    /// may go back when a front end that is behind begins to serve, or an observer speaks again.
     #[must_use]
     pub fn totals(&self, now: Micros, fresh: Micros) -> FleetTotals {
         let mut totals = FleetTotals::default();
--- a/cluster/distribution/src/subscriber/link.rs
+++ b/cluster/distribution/src/subscriber/link.rs
@@ -21,6 +21,8 @@
 pub(super) struct Link {
     /// The greeting was answered.
     pub open: bool,
+    /// It has answered a question.
+    pub proved: bool,
     /// When it was tried, or opened.
     pub since: Micros,
     /// When this observer was last asked for changes or for a snapshot.
@@ -32,7 +34,7 @@
 impl Link {
     pub fn new(now: Micros) -> Self {
         let questions = VecDeque::new();
-        Link { open: false, since: now, followed_at: now, questions, unanswered_since: None }
+        Link { open: false, proved: false, since: now, followed_at: now, questions, unanswered_since: None }
     }
 
     /// A question was sent.
@@ -59,7 +61,17 @@
         }
     }
 
-    /// When the oldest question that is not answered was asked.
+    /// This process stood still: what was unanswered meanwhile is not the observer's silence.
+    pub fn excuse(&mut self, now: Micros) {
+        if let Some(since) = &mut self.unanswered_since {
+            *since = now;
+        }
+        if !self.open {
+            self.since = now;
+        }
+    }
+
+    /// Since when a question is not answered.
     pub fn unanswered_since(&self) -> Option<Micros> {
         self.unanswered_since
     }
--- a/cluster/distribution/src/subscriber/links.rs
+++ b/cluster/distribution/src/subscriber/links.rs
@@ -92,7 +92,7 @@
             self.pause = self.pause.saturating_mul(2).clamp(first, longest);
         }
         let holds_another = self.links.values().any(|link| link.open);
-        let pause = if holds_another { longest } else { self.pause };
+        let pause = if was_open && holds_another { longest } else { self.pause };
         self.connect_at = self.now.saturating_add(draw(&mut self.rng, pause));
     }
 
@@ -138,7 +138,11 @@
 
     /// Time has passed.
     pub fn tick(&mut self, now: Micros) {
+        let stood_still = now.saturating_sub(self.now) >= self.config.drain_limit;
         self.now = now;
+        if stood_still {
+            self.links.values_mut().for_each(|link| link.excuse(now));
+        }
         self.end_slow_attempts();
         self.check_answers();
         if let Some(watched) = self.watched.filter(|_| now >= self.confirm_at) {
--- a/cluster/distribution/src/subscriber/mod.rs
+++ b/cluster/distribution/src/subscriber/mod.rs
@@ -161,6 +161,9 @@
     /// An answer counts from the moment of its question, once the revision that it names is applied.
     fn confirmed(&mut self, observer: NodeId, question: u64, revision: u64) {
         let Some(link) = self.links.get_mut(&observer) else { return };
+        if !std::mem::replace(&mut link.proved, true) {
+            self.pause = self.config.pause.0;
+        }
         if let Some(gate) = link.answered(question) {
             self.gate.answered(gate, revision);
             if self.mutated(Mutant::AgeFromAnswer) {
@@ -169,7 +172,7 @@
             }
         }
         self.directory.proved(observer);
-        (self.pause, self.given_up) = (self.config.pause.0, 0);
+        self.given_up = 0;
         if self.reserve == Some(observer) && self.watched_is_overdue() {
             self.follow(observer);
         }
--- a/cluster/distribution/tests/world/check.rs
+++ b/cluster/distribution/tests/world/check.rs
@@ -117,6 +117,15 @@
         assert!(self.seen.most_waiting <= bound, "{} bytes wait, bound {bound}", self.seen.most_waiting);
     }
 
+    /// How a front end stands, for a failed test.
+    pub fn describe(&self, n: usize) -> String {
+        let core = &self.subscribers[n].core;
+        let (held, gate) = (core.observers(), core.may_route(self.now));
+        let (has, links) = (core.replica().revision(), &self.subscribers[n].links);
+        let last = self.truth.revision();
+        format!("front end {n} has {has} of {last}, gate {gate:?}, holds {held:?} of {links:?}")
+    }
+
     /// Front ends that lack a revision, whose gate is shut, or that hold fewer than two observers.
     pub fn not_current(&self) -> Vec<usize> {
         let revision = self.truth.revision();
