--- a/cluster/distribution/src/observer/mod.rs
+++ b/cluster/distribution/src/observer/mod.rs
@@ -78,7 +78,7 @@
 pub enum ObserverAction {
     /// Send this on a connection.
     Send(ConnectionId, FromObserver),
-    /// Close a connection once what was sent before has left.
+    /// Close a connection once what was sent before, and then [`FromObserver::Refused`], has left.
     Close(ConnectionId, Refusal),
     /// Ask the cluster whether its state is current (`Cluster::current`), and tell by [`Observer::read_ended`].
     Read(ReadId),
@@ -253,7 +253,8 @@
         self.begin_read();
     }
 
-    /// How many bytes wait in the carrier for a connection now, after something was written.
+    /// How many bytes wait in the carrier for a connection now, after something was written; also when none do, as
+    /// one that lacks changes is sent more only then.
     pub fn queued(&mut self, connection: ConnectionId, bytes: usize, store: &Store) {
         self.follow(store);
         let Some(known) = self.connections.get_mut(&connection) else { return };
--- a/cluster/distribution/tests/basic.rs
+++ b/cluster/distribution/tests/basic.rs
@@ -225,3 +225,88 @@
     let later = fleet.totals(pair.now + 60_000 * MS, 1_000 * MS);
     assert_eq!((later.silent_observers, later.serving, later.in_force), (1, 0, 0));
 }
+
+/// A subscriber whose connections to observers 1 and 2 are open; the watched one, and the other.
+fn subscriber_of_two() -> (Subscriber, u64, u64) {
+    let config = SubscriberConfig::default_for("c", "one", vec![1, 2]);
+    let mut subscriber = Subscriber::new(config, 7, 0);
+    subscriber.tick(50 * MS);
+    for id in [1, 2] {
+        let welcome = ObserverWelcome { refused: None, revision: 9, subscribers: 1, capacity: 10 };
+        subscriber.connected(50 * MS, id, &welcome);
+    }
+    let (watched, reserve) = subscriber.observers();
+    (subscriber, watched.unwrap(), reserve.unwrap())
+}
+
+fn piece(after: Option<&str>, key: &str, last: bool) -> FromObserver {
+    let entries = vec![(key.to_owned(), 5, vec![1])];
+    FromObserver::SnapshotPiece { revision: 9, after: after.map(str::to_owned), entries, last }
+}
+
+#[test]
+fn a_snapshot_goes_on_at_another_observer() {
+    let (mut subscriber, watched, reserve) = subscriber_of_two();
+    subscriber.receive(60 * MS, watched, piece(None, "a", false));
+    subscriber.actions();
+    subscriber.disconnected(70 * MS, watched, None);
+    let from = Some(SnapshotPlace { revision: 9, after: "a".to_owned() });
+    let asked = SubscriberAction::Send(reserve, FromSubscriber::Snapshot { from });
+    assert!(subscriber.actions().contains(&asked));
+    assert_eq!(subscriber.replica().revision(), 0, "not whole yet");
+    subscriber.receive(80 * MS, reserve, piece(Some("a"), "b", true));
+    assert_eq!((subscriber.replica().revision(), subscriber.replica().entries_below("").len()), (9, 2));
+}
+
+#[test]
+fn a_snapshot_whose_revision_is_compacted_begins_anew() {
+    let (mut subscriber, watched, _) = subscriber_of_two();
+    subscriber.receive(60 * MS, watched, piece(None, "a", false));
+    subscriber.actions();
+    subscriber.receive(70 * MS, watched, FromObserver::Compacted { first: 20 });
+    let asked = SubscriberAction::Send(watched, FromSubscriber::Snapshot { from: None });
+    assert_eq!(subscriber.actions(), vec![asked]);
+    let entries = vec![("b".to_owned(), 21, vec![1])];
+    let whole = FromObserver::SnapshotPiece { revision: 21, after: None, entries, last: true };
+    subscriber.receive(80 * MS, watched, whole);
+    assert_eq!((subscriber.replica().revision(), subscriber.replica().entries_below("").len()), (21, 1));
+}
+
+#[test]
+fn entries_of_a_snapshot_are_not_routed_on_by_an_answer_to_an_earlier_question() {
+    let (mut subscriber, watched, _) = subscriber_of_two();
+    let question = |action: &SubscriberAction| match action {
+        SubscriberAction::Send(id, FromSubscriber::Confirm { question, .. }) if *id == watched => {
+            Some(*question)
+        }
+        _ => None,
+    };
+    let before: Vec<u64> = subscriber.actions().iter().filter_map(question).collect();
+    subscriber.receive(60 * MS, watched, piece(None, "a", true));
+    let after: Vec<u64> = subscriber.actions().iter().filter_map(question).collect();
+    let answer = |question: u64| FromObserver::Confirmed { question, revision: 9 };
+    subscriber.receive(70 * MS, watched, answer(before[0]));
+    assert!(subscriber.may_route(70 * MS).is_err());
+    subscriber.receive(80 * MS, watched, answer(after[0]));
+    assert!(subscriber.may_route(80 * MS).is_ok());
+}
+
+#[test]
+fn a_silent_observer_holds_back_what_is_in_force_for_a_while() {
+    let summary = |least| ProgressSummary {
+        revision: 9,
+        serving: 10,
+        least: Some(least),
+        laggards: vec![(format!("at-{least}"), least)],
+        ..ProgressSummary::default()
+    };
+    let mut fleet = FleetProgress::default();
+    fleet.report(0, 1, summary(7));
+    fleet.report(4_000 * MS, 2, summary(9));
+    let totals = fleet.totals(4_000 * MS, 2_000 * MS);
+    assert_eq!((totals.observers, totals.silent_observers, totals.serving), (1, 1, 10));
+    assert_eq!((totals.in_force, totals.laggards.len()), (7, 1));
+    assert_eq!(fleet.totals(5_500 * MS, 2_000 * MS).in_force, 9);
+    fleet.forget(1);
+    assert_eq!(fleet.totals(4_000 * MS, 2_000 * MS).in_force, 9);
+}
