--- a/cluster/distribution/src/lib.rs
+++ b/cluster/distribution/src/lib.rs
@@ -10,6 +10,7 @@
 //! Neither reads a clock, opens a socket or decides about a request.
 
 mod message;
+mod mutant;
 mod observer;
 mod progress;
 mod replica;
@@ -19,7 +20,9 @@
     EntryChange, FromObserver, FromSubscriber, ObserverWelcome, Progress, Refusal, SnapshotPlace,
     SubscriberHello, LONGEST_MESSAGE, MAGIC, VERSION,
 };
-pub use observer::{ConnectionId, Observer, ObserverAction, ObserverConfig, ReadId};
-pub use progress::{FleetProgress, FleetTotals, ProgressSummary, LAGGARDS};
+#[doc(hidden)]
+pub use mutant::Mutant;
+pub use observer::{ConnectionId, Observer, ObserverAction, ObserverConfig, ObserverSizes, ReadId};
+pub use progress::{FleetProgress, FleetTotals, InForce, ProgressSummary, LAGGARDS};
 pub use replica::Replica;
 pub use subscriber::{Subscriber, SubscriberAction, SubscriberConfig};
