Split the member's runtime into calls, disk worker, status, clock and connection

Moved without a change of behaviour: calls, the disk's thread and the status get files of their own; frames on a connection and the timer of a core become crate::connection and crate::clock, to be shared.

--- a/cluster/node/src/lib.rs
+++ b/cluster/node/src/lib.rs
@@ -3,6 +3,8 @@
 //!
 //! It decides nothing: who leads, what is agreed on and whether state may be routed on is the member's.
 
+mod clock;
+mod connection;
 mod runtime;
 pub mod transport;
 mod wire;
--- a/cluster/node/src/runtime.rs
+++ b/cluster/node/src/runtime.rs
@@ -1,35 +1,35 @@
 //! One member at work: messages, the disk's thread, timers, and those that wait for answers.
 
+mod calls;
+mod disk_worker;
+mod status;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::poll_fn;
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
-use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::sync::mpsc;
 use std::task::{Poll, Waker};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_executor::{LocalExecutor, Task};
-use async_io::{Async, Timer};
-use futures_lite::{Future, FutureExt};
-use violetgate_consensus::{Change, Entry, Index, Members, Meta, NodeId, Rejected, Role, Term, Write};
-use violetgate_disk::{Disk, Failure, Folder, Identity};
+use async_io::Async;
+use violetgate_consensus::{Index, Members, Meta, NodeId, Rejected};
+use violetgate_disk::{Disk, Folder, Identity};
 use violetgate_member::{Answer, Effect, Found, Manner, Member, Ticket};
-use violetgate_state::{Micros, Revision, Stale, Step, Store};
+use violetgate_state::{Stale, Store};
 
+use crate::clock::{boot, wall, Alarm};
 use crate::transport::Transport;
-use crate::wire::{Call, Frame};
+use crate::wire::Frame;
+use calls::{Slot, TRY};
+use disk_worker::{write_for_ever, Done, Job};
+
+pub use calls::Answered;
+pub use status::Status;
 
-/// How long a full disk is left alone before the same is tried again.
-const FULL: Duration = Duration::from_millis(200);
-/// How often a call that got no answer is made again, under the same request id.
-const AGAIN: Duration = Duration::from_millis(150);
-/// How long one try of a call to be agreed on may take before it is made again, and the pause between two.
-const TRY: Duration = Duration::from_millis(500);
-const PAUSE: Duration = Duration::from_millis(20);
 /// Calls of other members that are carried out at a time; more are turned away, and come again.
 const MOST_ASKED: usize = 1_000;
 
@@ -52,40 +52,6 @@
     pub seed: u64,
 }
 
-/// What a member is at.
-#[derive(Debug, Clone)]
-pub struct Status {
-    /// Its id.
-    pub id: NodeId,
-    /// What it is.
-    pub role: Role,
-    /// The term.
-    pub term: Term,
-    /// The leader that it knows.
-    pub leader: Option<NodeId>,
-    /// The last entry that is agreed on, and the last one that is applied here.
-    pub commit: Index,
-    /// The same, applied.
-    pub applied: Index,
-    /// The members.
-    pub members: Members,
-    /// The store's revision, as it is applied here.
-    pub revision: Revision,
-    /// Whether state may be routed on, or how old it is.
-    pub fresh: Result<(), Stale>,
-    /// For a leader, what each other member is known to have.
-    pub progress: Vec<(NodeId, Index)>,
-}
-
-/// How a call ended for its caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Answered {
-    /// It was answered.
-    Yes(Answer),
-    /// It was not, in the time that it had. A command may still come to be.
-    Late,
-}
-
 /// What begins a member's folder.
 #[derive(Debug, Clone)]
 pub struct Beginning {
@@ -95,26 +61,6 @@
     pub state: Vec<u8>,
 }
 
-enum Job {
-    Write(Vec<Write>),
-    Keep(Meta, Vec<u8>),
-    Install(NodeId, Meta, Vec<u8>, Vec<Entry>),
-}
-
-enum Done {
-    Persisted(u64),
-    Kept(Index),
-    Installed(NodeId, Meta, Vec<u8>),
-    Full(String),
-    Lost(String),
-}
-
-#[derive(Default)]
-struct Slot {
-    answer: RefCell<Option<Answer>>,
-    waker: RefCell<Option<Waker>>,
-}
-
 /// What is called with the store once more is applied to it.
 pub type OnApplied = Rc<dyn Fn(&Store)>;
 
@@ -134,26 +80,13 @@
     jobs: mpsc::Sender<Job>,
     waiting: RefCell<BTreeMap<Ticket, Rc<Slot>>>,
     next: Cell<Ticket>,
-    armed: Cell<Micros>,
-    waker: RefCell<Option<Waker>>,
+    alarm: Rc<Alarm>,
     /// Those that wait for the state to move on, and why nothing can be written any more.
     watchers: RefCell<Vec<Waker>>,
     lost: RefCell<Option<String>>,
     tasks: RefCell<Vec<Task<()>>>,
 }
 
-/// The time that counts sleep, in microseconds since the machine's start.
-#[must_use]
-fn boot() -> Micros {
-    let at = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
-    u64::try_from(at.tv_sec).unwrap_or(0) * 1_000_000 + u64::try_from(at.tv_nsec).unwrap_or(0) / 1_000
-}
-
-fn wall() -> Micros {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_micros()).unwrap_or(u64::MAX)
-}
-
 impl Cluster {
     /// Makes a member's folder. It is done once: a folder that is lost can't be made again under the same id, as its
     /// promises are lost with it.
@@ -221,8 +154,7 @@
                 jobs,
                 waiting: RefCell::default(),
                 next: Cell::new(0),
-                armed: Cell::new(Micros::MAX),
-                waker: RefCell::default(),
+                alarm: Rc::default(),
                 watchers: RefCell::default(),
                 lost: RefCell::default(),
                 tasks: RefCell::default(),
@@ -231,7 +163,7 @@
         me.transport.peers(&members);
         let tasks = [
             executor.spawn(Rc::clone(&me.transport).listen(listener)),
-            executor.spawn(keep_time(Rc::downgrade(&me))),
+            executor.spawn(keep_time(Rc::downgrade(&me), Rc::clone(&me.alarm))),
             executor.spawn(hear_disk(Rc::downgrade(&me), done)),
         ];
         me.tasks.borrow_mut().extend(tasks);
@@ -291,9 +223,7 @@
             applied.into_iter().for_each(|f| f(member.store()));
             self.watchers.borrow_mut().drain(..).for_each(Waker::wake);
         }
-        if member.next_tick() < self.armed.get() {
-            self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
-        }
+        self.alarm.set(member.next_tick());
     }
 
     fn job(&self, job: Job) {
@@ -340,94 +270,6 @@
         }
     }
 
-    fn ticket(&self) -> Ticket {
-        self.next.set(self.next.get() + 1);
-        self.next.get()
-    }
-
-    /// Makes one call, and waits for its answer for so long at most.
-    async fn call(&self, within: Duration, act: impl FnOnce(&mut Member, Ticket)) -> Answered {
-        let ticket = self.ticket();
-        let slot = Rc::new(Slot::default());
-        self.waiting.borrow_mut().insert(ticket, Rc::clone(&slot));
-        // Whichever way this ends, nobody waits for it any more: also where its future is dropped.
-        let _forget = Forget(self, ticket);
-        self.with(|m| act(m, ticket));
-        slot.filled(within).await
-    }
-
-    /// Carries a call out here, if this member leads.
-    async fn here(&self, call: Call, within: Duration) -> Answered {
-        match call {
-            Call::Propose { request, who, step } => self.propose(Some(request), &who, step, within).await,
-            Call::Change(change) => self.change(change, within).await,
-            Call::Transfer(to) => Answered::Yes(match self.transfer(to) {
-                Ok(()) => Answer::Changed,
-                Err(Rejected::NotLeader) => Answer::NotLeader(self.status().leader),
-                Err(why) => Answer::Rejected(why),
-            }),
-        }
-    }
-
-    /// Has another member carry a call out.
-    async fn there(&self, to: NodeId, call: Call, within: Duration) -> Answered {
-        let number = self.ticket();
-        let slot = Rc::new(Slot::default());
-        self.asked.borrow_mut().insert(number, Rc::clone(&slot));
-        let _forget = Unask(self, number);
-        self.transport.send(to, &Frame::Ask(number, call));
-        // One that is no longer held for the leader won't answer, or another one can sooner.
-        let deposed = async {
-            while self.member.borrow().node().leader() == Some(to) {
-                Timer::after(PAUSE / 2).await;
-            }
-            Answered::Late
-        };
-        slot.filled(within).or(deposed).await
-    }
-
-    /// Has a call agreed on, whoever leads: asked again, under its one request id, until its fate is known or its
-    /// time is over. [`Answered::Late`]: it may still come to be; the same call again tells.
-    pub async fn agree(&self, call: Call, within: Duration) -> Answered {
-        let until = Instant::now() + within;
-        let mut unsure = false;
-        loop {
-            let left = until.saturating_duration_since(Instant::now());
-            if left.is_zero() || self.lost.borrow().is_some() {
-                return Answered::Late;
-            }
-            let Status { id, role, leader, .. } = self.status();
-            let answered = match leader {
-                _ if role == Role::Leader => self.here(call.clone(), left.min(TRY)).await,
-                Some(leader) if leader != id => self.there(leader, call.clone(), left.min(TRY)).await,
-                _ => Answered::Yes(Answer::NotLeader(None)),
-            };
-            match answered {
-                Answered::Late | Answered::Yes(Answer::Unsure) => unsure = true,
-                Answered::Yes(
-                    Answer::NotLeader(_) | Answer::Rejected(Rejected::Busy | Rejected::Pending),
-                ) => {}
-                // A step that was taken by an earlier try can't be taken again.
-                Answered::Yes(Answer::Rejected(_)) if unsure && self.taken(&call) => {
-                    return Answered::Yes(Answer::Changed);
-                }
-                told => return told,
-            }
-            Timer::after(PAUSE.min(left)).await;
-        }
-    }
-
-    fn taken(&self, call: &Call) -> bool {
-        let member = self.member.borrow();
-        let members = member.members();
-        match call {
-            Call::Change(Change::Add(id)) => members.contains(*id),
-            Call::Change(Change::Promote(id)) => members.voters.contains(id),
-            Call::Change(Change::Remove(id)) => !members.contains(*id),
-            Call::Propose { .. } | Call::Transfer(_) => false,
-        }
-    }
-
     /// What was drawn when this member's disk was made.
     #[must_use]
     pub fn born(&self) -> u64 {
@@ -446,35 +288,6 @@
         self.member.borrow().store().save()
     }
 
-    /// Proposes a command here, once. `request` makes it safe to ask again.
-    pub async fn propose(
-        &self,
-        request: Option<String>,
-        who: &str,
-        step: Step,
-        within: Duration,
-    ) -> Answered {
-        self.call(within, |m, ticket| m.propose(ticket, request, who.to_owned(), step)).await
-    }
-
-    /// One step of the membership.
-    pub async fn change(&self, change: Change, within: Duration) -> Answered {
-        self.call(within, |m, ticket| m.change(ticket, change)).await
-    }
-
-    /// Waits until the store is current, by asking again where no answer comes. False: it was not, in that time.
-    pub async fn current(&self, within: Duration) -> bool {
-        let until = Instant::now() + within;
-        while Instant::now() < until {
-            let left = until.saturating_duration_since(Instant::now());
-            if self.call(left.min(AGAIN), Member::read).await == Answered::Yes(Answer::Current) {
-                return true;
-            }
-            Timer::after(Duration::from_millis(10)).await;
-        }
-        false
-    }
-
     /// Reads the store as it is applied here.
     pub fn store<T>(&self, read: impl FnOnce(&Store) -> T) -> T {
         read(self.member.borrow().store())
@@ -509,97 +322,16 @@
     pub fn lost(&self) -> Option<String> {
         self.lost.borrow().clone()
     }
-
-    /// Hands leadership over.
-    ///
-    /// # Errors
-    ///
-    /// It can't be.
-    pub fn transfer(&self, to: NodeId) -> Result<(), Rejected> {
-        self.with(|m| m.transfer(to))
-    }
-
-    /// What the member is at.
-    #[must_use]
-    pub fn status(&self) -> Status {
-        let member = self.member.borrow();
-        let node = member.node();
-        Status {
-            id: node.id(),
-            role: node.role(),
-            term: node.term(),
-            leader: node.leader(),
-            commit: node.commit(),
-            applied: member.applied(),
-            members: member.members().clone(),
-            revision: member.store().revision(),
-            fresh: member.may_route(boot()),
-            progress: node.progress(),
-        }
-    }
-}
-
-impl Slot {
-    fn fill(&self, answer: Answer) {
-        *self.answer.borrow_mut() = Some(answer);
-        self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
-    }
-
-    async fn filled(&self, within: Duration) -> Answered {
-        let answered = poll_fn(|cx| match self.answer.borrow_mut().take() {
-            Some(answer) => Poll::Ready(Answered::Yes(answer)),
-            None => {
-                *self.waker.borrow_mut() = Some(cx.waker().clone());
-                Poll::Pending
-            }
-        });
-        let late = async {
-            Timer::after(within).await;
-            Answered::Late
-        };
-        answered.or(late).await
-    }
-}
-
-/// Takes a question back that nobody waits for.
-struct Unask<'a>(&'a Cluster, u64);
-
-impl Drop for Unask<'_> {
-    fn drop(&mut self) {
-        self.0.asked.borrow_mut().remove(&self.1);
-    }
-}
-
-/// Takes a call back that nobody waits for.
-struct Forget<'a>(&'a Cluster, Ticket);
-
-impl Drop for Forget<'_> {
-    fn drop(&mut self) {
-        self.0.waiting.borrow_mut().remove(&self.1);
-        self.0.member.borrow_mut().forget(self.1);
-    }
 }
 
 /// Tells the member the time whenever it wants to be.
-async fn keep_time(of: Weak<Cluster>) {
-    let mut timer = Timer::never();
-    poll_fn(|cx| loop {
-        let Some(cluster) = of.upgrade() else { return Poll::Ready(()) };
-        *cluster.waker.borrow_mut() = Some(cx.waker().clone());
-        let now = boot();
-        if cluster.member.borrow().next_tick() <= now {
-            cluster.armed.set(Micros::MAX);
-            cluster.with(|_| ());
-            *cluster.waker.borrow_mut() = Some(cx.waker().clone());
-        }
-        let at = cluster.member.borrow().next_tick();
-        cluster.armed.set(at);
-        timer.set_after(Duration::from_micros(at.saturating_sub(boot()).max(500)));
-        if Pin::new(&mut timer).poll(cx).is_pending() {
-            return Poll::Pending;
-        }
-    })
-    .await;
+async fn keep_time(of: Weak<Cluster>, alarm: Rc<Alarm>) {
+    while let Some(cluster) = of.upgrade() {
+        cluster.with(|_| ());
+        alarm.set(cluster.member.borrow().next_tick());
+        drop(cluster);
+        alarm.due().await;
+    }
 }
 
 async fn hear_disk(of: Weak<Cluster>, done: Receiver<Done>) {
@@ -614,57 +346,3 @@
         }
     }
 }
-
-/// The disk's thread: takes all jobs that wait, and makes the writes among them durable with one sync.
-fn write_for_ever(mut disk: Disk<Folder>, work: &mpsc::Receiver<Job>, tell: &Sender<Done>) {
-    let mut next = None;
-    loop {
-        let Some(job) = next.take().or_else(|| work.recv().ok()) else { return };
-        let done = match job {
-            Job::Write(mut writes) => {
-                while let Ok(job) = work.try_recv() {
-                    match job {
-                        Job::Write(more) => writes.extend(more),
-                        other => {
-                            next = Some(other);
-                            break;
-                        }
-                    }
-                }
-                let seq = writes.iter().map(|w| w.seq).max().unwrap_or(0);
-                tried(tell, || disk.write(&writes)).map(|()| Done::Persisted(seq))
-            }
-            Job::Keep(meta, state) => {
-                tried(tell, || disk.keep(&meta, &state)).map(|()| Done::Kept(meta.index))
-            }
-            Job::Install(from, meta, state, follows) => tried(tell, || disk.install(&meta, &state, &follows))
-                .map(|()| Done::Installed(from, meta, state)),
-        };
-        let lost = done.is_err();
-        if tell.send_blocking(done.unwrap_or_else(Done::Lost)).is_err() || lost {
-            return;
-        }
-    }
-}
-
-/// Does something until it is done: a disk that is full is tried again, and told of once.
-fn tried(tell: &Sender<Done>, mut act: impl FnMut() -> Result<(), Failure>) -> Result<(), String> {
-    let mut told = false;
-    loop {
-        match act() {
-            Ok(()) => return Ok(()),
-            Err(Failure::Full(e)) => {
-                if !std::mem::replace(&mut told, true)
-                    && tell.send_blocking(Done::Full(e.to_string())).is_err()
-                {
-                    return Err("nobody waits for the disk".to_owned());
-                }
-                if tell.is_closed() {
-                    return Err("nobody waits for the disk".to_owned());
-                }
-                std::thread::sleep(FULL);
-            }
-            Err(e) => return Err(e.to_string()),
-        }
-    }
-}
--- /dev/null
+++ b/cluster/node/src/runtime/calls.rs
@@ -0,0 +1,208 @@
+//! Calls of this member's program: each waits for its answer, for a bounded time.
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::{Duration, Instant};
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use violetgate_consensus::{Change, NodeId, Rejected, Role};
+use violetgate_member::{Answer, Member, Ticket};
+use violetgate_state::Step;
+
+use super::status::Status;
+use super::Cluster;
+use crate::wire::{Call, Frame};
+
+/// How often a call that got no answer is made again, under the same request id.
+const AGAIN: Duration = Duration::from_millis(150);
+/// How long one try of a call to be agreed on may take before it is made again, and the pause between two.
+pub(super) const TRY: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// How a call ended for its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Answered {
+    /// It was answered.
+    Yes(Answer),
+    /// It was not, in the time that it had. A command may still come to be.
+    Late,
+}
+
+#[derive(Default)]
+/// Where the answer to one call is waited for.
+pub(super) struct Slot {
+    answer: RefCell<Option<Answer>>,
+    waker: RefCell<Option<Waker>>,
+}
+
+impl Cluster {
+    fn ticket(&self) -> Ticket {
+        self.next.set(self.next.get() + 1);
+        self.next.get()
+    }
+
+    /// Makes one call, and waits for its answer for so long at most.
+    async fn call(&self, within: Duration, act: impl FnOnce(&mut Member, Ticket)) -> Answered {
+        let ticket = self.ticket();
+        let slot = Rc::new(Slot::default());
+        self.waiting.borrow_mut().insert(ticket, Rc::clone(&slot));
+        // Whichever way this ends, nobody waits for it any more: also where its future is dropped.
+        let _forget = Forget(self, ticket);
+        self.with(|m| act(m, ticket));
+        slot.filled(within).await
+    }
+
+    /// Carries a call out here, if this member leads.
+    pub(super) async fn here(&self, call: Call, within: Duration) -> Answered {
+        match call {
+            Call::Propose { request, who, step } => self.propose(Some(request), &who, step, within).await,
+            Call::Change(change) => self.change(change, within).await,
+            Call::Transfer(to) => Answered::Yes(match self.transfer(to) {
+                Ok(()) => Answer::Changed,
+                Err(Rejected::NotLeader) => Answer::NotLeader(self.status().leader),
+                Err(why) => Answer::Rejected(why),
+            }),
+        }
+    }
+
+    /// Has another member carry a call out.
+    async fn there(&self, to: NodeId, call: Call, within: Duration) -> Answered {
+        let number = self.ticket();
+        let slot = Rc::new(Slot::default());
+        self.asked.borrow_mut().insert(number, Rc::clone(&slot));
+        let _forget = Unask(self, number);
+        self.transport.send(to, &Frame::Ask(number, call));
+        // One that is no longer held for the leader won't answer, or another one can sooner.
+        let deposed = async {
+            while self.member.borrow().node().leader() == Some(to) {
+                Timer::after(PAUSE / 2).await;
+            }
+            Answered::Late
+        };
+        slot.filled(within).or(deposed).await
+    }
+
+    /// Has a call agreed on, whoever leads: asked again, under its one request id, until its fate is known or its
+    /// time is over. [`Answered::Late`]: it may still come to be; the same call again tells.
+    pub async fn agree(&self, call: Call, within: Duration) -> Answered {
+        let until = Instant::now() + within;
+        let mut unsure = false;
+        loop {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() || self.lost.borrow().is_some() {
+                return Answered::Late;
+            }
+            let Status { id, role, leader, .. } = self.status();
+            let answered = match leader {
+                _ if role == Role::Leader => self.here(call.clone(), left.min(TRY)).await,
+                Some(leader) if leader != id => self.there(leader, call.clone(), left.min(TRY)).await,
+                _ => Answered::Yes(Answer::NotLeader(None)),
+            };
+            match answered {
+                Answered::Late | Answered::Yes(Answer::Unsure) => unsure = true,
+                Answered::Yes(
+                    Answer::NotLeader(_) | Answer::Rejected(Rejected::Busy | Rejected::Pending),
+                ) => {}
+                // A step that was taken by an earlier try can't be taken again.
+                Answered::Yes(Answer::Rejected(_)) if unsure && self.taken(&call) => {
+                    return Answered::Yes(Answer::Changed);
+                }
+                told => return told,
+            }
+            Timer::after(PAUSE.min(left)).await;
+        }
+    }
+
+    fn taken(&self, call: &Call) -> bool {
+        let member = self.member.borrow();
+        let members = member.members();
+        match call {
+            Call::Change(Change::Add(id)) => members.contains(*id),
+            Call::Change(Change::Promote(id)) => members.voters.contains(id),
+            Call::Change(Change::Remove(id)) => !members.contains(*id),
+            Call::Propose { .. } | Call::Transfer(_) => false,
+        }
+    }
+
+    /// Proposes a command here, once. `request` makes it safe to ask again.
+    pub async fn propose(
+        &self,
+        request: Option<String>,
+        who: &str,
+        step: Step,
+        within: Duration,
+    ) -> Answered {
+        self.call(within, |m, ticket| m.propose(ticket, request, who.to_owned(), step)).await
+    }
+
+    /// One step of the membership.
+    pub async fn change(&self, change: Change, within: Duration) -> Answered {
+        self.call(within, |m, ticket| m.change(ticket, change)).await
+    }
+
+    /// Waits until the store is current, by asking again where no answer comes. False: it was not, in that time.
+    pub async fn current(&self, within: Duration) -> bool {
+        let until = Instant::now() + within;
+        while Instant::now() < until {
+            let left = until.saturating_duration_since(Instant::now());
+            if self.call(left.min(AGAIN), Member::read).await == Answered::Yes(Answer::Current) {
+                return true;
+            }
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        false
+    }
+
+    /// Hands leadership over.
+    ///
+    /// # Errors
+    ///
+    /// It can't be.
+    pub fn transfer(&self, to: NodeId) -> Result<(), Rejected> {
+        self.with(|m| m.transfer(to))
+    }
+}
+
+impl Slot {
+    pub(super) fn fill(&self, answer: Answer) {
+        *self.answer.borrow_mut() = Some(answer);
+        self.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
+    }
+
+    pub(super) async fn filled(&self, within: Duration) -> Answered {
+        let answered = poll_fn(|cx| match self.answer.borrow_mut().take() {
+            Some(answer) => Poll::Ready(Answered::Yes(answer)),
+            None => {
+                *self.waker.borrow_mut() = Some(cx.waker().clone());
+                Poll::Pending
+            }
+        });
+        let late = async {
+            Timer::after(within).await;
+            Answered::Late
+        };
+        answered.or(late).await
+    }
+}
+
+/// Takes a question back that nobody waits for.
+struct Unask<'a>(&'a Cluster, u64);
+
+impl Drop for Unask<'_> {
+    fn drop(&mut self) {
+        self.0.asked.borrow_mut().remove(&self.1);
+    }
+}
+
+/// Takes a call back that nobody waits for.
+struct Forget<'a>(&'a Cluster, Ticket);
+
+impl Drop for Forget<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.borrow_mut().remove(&self.1);
+        self.0.member.borrow_mut().forget(self.1);
+    }
+}
--- /dev/null
+++ b/cluster/node/src/runtime/status.rs
@@ -0,0 +1,53 @@
+//! What a member is at, for operators and tests.
+
+use violetgate_consensus::{Index, Members, NodeId, Role, Term};
+use violetgate_state::{Revision, Stale};
+
+use super::Cluster;
+use crate::clock::boot;
+
+/// What a member is at.
+#[derive(Debug, Clone)]
+pub struct Status {
+    /// Its id.
+    pub id: NodeId,
+    /// What it is.
+    pub role: Role,
+    /// The term.
+    pub term: Term,
+    /// The leader that it knows.
+    pub leader: Option<NodeId>,
+    /// The last entry that is agreed on, and the last one that is applied here.
+    pub commit: Index,
+    /// The same, applied.
+    pub applied: Index,
+    /// The members.
+    pub members: Members,
+    /// The store's revision, as it is applied here.
+    pub revision: Revision,
+    /// Whether state may be routed on, or how old it is.
+    pub fresh: Result<(), Stale>,
+    /// For a leader, what each other member is known to have.
+    pub progress: Vec<(NodeId, Index)>,
+}
+
+impl Cluster {
+    /// What the member is at.
+    #[must_use]
+    pub fn status(&self) -> Status {
+        let member = self.member.borrow();
+        let node = member.node();
+        Status {
+            id: node.id(),
+            role: node.role(),
+            term: node.term(),
+            leader: node.leader(),
+            commit: node.commit(),
+            applied: member.applied(),
+            members: member.members().clone(),
+            revision: member.store().revision(),
+            fresh: member.may_route(boot()),
+            progress: node.progress(),
+        }
+    }
+}
--- a/cluster/node/src/transport.rs
+++ b/cluster/node/src/transport.rs
@@ -4,7 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::future::poll_fn;
-use std::io::{Read, Write};
+use std::io::Read;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::{Rc, Weak};
 use std::task::{Poll, Waker};
@@ -15,15 +15,11 @@
 use futures_lite::{future, FutureExt};
 use violetgate_consensus::NodeId;
 
+use crate::connection::{frame, late, write, Input, CONNECT, GREET};
 use crate::wire::{self, Frame, Hello, Welcome};
 
 /// Bytes that wait for one member.
 const QUEUE: usize = 32 << 20;
-/// How long a connection may take to come up, and a greeting to be answered.
-const CONNECT: Duration = Duration::from_millis(500);
-const GREET: Duration = Duration::from_secs(2);
-/// How long the other side may take nothing.
-const STALLED: Duration = Duration::from_secs(5);
 /// The pause before another try, doubled up to the last at each one that fails.
 const PAUSE: Duration = Duration::from_millis(20);
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
@@ -178,7 +174,7 @@
 /// Hears one member out; the reason why it ended.
 async fn hear(of: &Weak<Transport>, stream: &Async<TcpStream>) -> String {
     let _ = stream.get_ref().set_nodelay(true);
-    let mut input = Vec::new();
+    let mut input = Input::default();
     let greeting = frame::<Hello>(stream, &mut input, wire::GREETING);
     let hello = match greeting.or(late("greeting_timeout", GREET)).await {
         Ok(hello) => hello,
@@ -254,7 +250,7 @@
     if let Err(reason) = write(&stream, &greeting).await {
         return reason.to_owned();
     }
-    let mut input = Vec::new();
+    let mut input = Input::default();
     let welcome =
         frame::<Welcome>(&stream, &mut input, wire::GREETING).or(late("greeting_timeout", GREET)).await;
     match welcome {
@@ -293,36 +289,3 @@
         }
     }
 }
-
-async fn late<T>(reason: &'static str, after: Duration) -> Result<T, &'static str> {
-    Timer::after(after).await;
-    Err(reason)
-}
-
-async fn frame<T: serde::de::DeserializeOwned>(
-    stream: &Async<TcpStream>,
-    input: &mut Vec<u8>,
-    longest: usize,
-) -> Result<T, &'static str> {
-    let mut chunk = [0u8; 16 * 1024];
-    loop {
-        if let Some((value, size)) = wire::take(input, longest)? {
-            input.drain(..size);
-            return Ok(value);
-        }
-        match stream.read_with(|mut s| s.read(&mut chunk)).await {
-            Ok(0) => return Err("closed"),
-            Ok(n) => input.extend_from_slice(chunk.get(..n).unwrap_or_default()),
-            Err(_) => return Err("reset"),
-        }
-    }
-}
-
-async fn write(stream: &Async<TcpStream>, mut bytes: &[u8]) -> Result<(), &'static str> {
-    while !bytes.is_empty() {
-        let some = async { stream.write_with(|mut s| s.write(bytes)).await.map_err(|_| "reset") };
-        let n = some.or(late("stalled", STALLED)).await?;
-        bytes = bytes.get(n..).unwrap_or_default();
-    }
-    Ok(())
-}
