Carry observers and subscriptions over sockets

Front ends are to follow agreed state without being members: an observer serves a member's copy, a front end subscribes. ObserverService and Subscription carry out what the cores of violetgate-distribution ask for: one task a connection, one timer a side, queues bounded in bytes, a message to many encoded once. Members get the observers' progress by a new frame at the end of the enum; a member from before ends a connection over it, so all members are upgraded before the first one serves subscribers (the protocol's version stays 1).

--- a/cluster/node/src/connection.rs
+++ b/cluster/node/src/connection.rs
@@ -2,7 +2,7 @@
 
 use std::cell::RefCell;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{Shutdown, TcpStream};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
@@ -16,6 +16,9 @@
 pub(crate) const GREET: Duration = Duration::from_secs(2);
 /// How long the other side may take nothing.
 pub(crate) const STALLED: Duration = Duration::from_secs(5);
+/// How long the other side may take to see why its connection ends, and how much of what it says is passed over.
+const LINGER: Duration = Duration::from_millis(500);
+const MOST_PASSED_OVER: usize = 1 << 20;
 /// Bytes that are read at a time.
 const CHUNK: usize = 16 << 10;
 /// Bytes of memory that a connection keeps between two frames.
@@ -41,10 +44,17 @@
 }
 
 impl Input {
-    /// The next frame, if it is whole.
-    pub(crate) fn take<T: DeserializeOwned>(&mut self, longest: usize) -> Result<Option<T>, &'static str> {
-        let rest = self.bytes.get(self.start..).unwrap_or_default();
-        let Some((value, size)) = wire::take(rest, longest)? else {
+    /// What was read and not taken.
+    pub(crate) fn rest(&self) -> &[u8] {
+        self.bytes.get(self.start..).unwrap_or_default()
+    }
+
+    /// The next frame and its size, if it is whole.
+    pub(crate) fn take<T: DeserializeOwned>(
+        &mut self,
+        longest: usize,
+    ) -> Result<Option<(T, usize)>, &'static str> {
+        let Some((value, size)) = wire::take(self.rest(), longest)? else {
             self.bytes.drain(..self.start);
             self.start = 0;
             return Ok(None);
@@ -56,7 +66,7 @@
             // What a long frame took is given back: a connection that rests holds little.
             self.bytes.shrink_to(KEPT);
         }
-        Ok(Some(value))
+        Ok(Some((value, size)))
     }
 
     /// Reads some bytes more; how many.
@@ -85,7 +95,7 @@
     longest: usize,
 ) -> Result<T, &'static str> {
     loop {
-        if let Some(value) = input.take(longest)? {
+        if let Some((value, _)) = input.take(longest)? {
             return Ok(value);
         }
         input.read(stream).await?;
@@ -101,3 +111,21 @@
     }
     Ok(())
 }
+
+/// Ends this side of a connection and waits shortly for the other one, so that what was written last is not lost in a
+/// reset over something that was not read.
+pub(crate) async fn linger(stream: &Async<TcpStream>) {
+    let _ = stream.get_ref().shutdown(Shutdown::Write);
+    let drained = async {
+        let mut passed = 0;
+        let mut scratch = [0; 512];
+        while passed < MOST_PASSED_OVER {
+            match stream.read_with(|mut s| s.read(&mut scratch)).await {
+                Ok(0) | Err(_) => break,
+                Ok(n) => passed += n,
+            }
+        }
+        Ok(())
+    };
+    let _ = drained.or(late("lingered", LINGER)).await;
+}
--- /dev/null
+++ b/cluster/node/src/observer_service.rs
@@ -0,0 +1,295 @@
+//! An observer's carrier: it takes subscribers' connections and carries out what the core asks for.
+
+mod subscriber;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use async_executor::Task;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use violetgate_distribution::{
+    ConnectionId, FromObserver, Observer, ObserverAction, ObserverConfig, ObserverWelcome, ProgressSummary,
+    ReadId, Refusal, SubscriberHello, LONGEST_MESSAGE,
+};
+use violetgate_state::{Micros, Store};
+
+use crate::clock::{boot, Alarm};
+use crate::outbox::{Outbox, SharedFrame};
+use crate::runtime::Cluster;
+use crate::traffic::{Counter, Traffic};
+use crate::wire;
+
+/// How often all members are sent how far this observer's subscribers are.
+const PROGRESS_EVERY: Micros = 250_000;
+/// How long one read of the cluster may take; the core gives it up then, too.
+const READ_WITHIN: Duration = Duration::from_millis(400);
+/// Connections that have not greeted yet; beyond them the oldest gives way.
+const MOST_UNGREETED: usize = 512;
+/// The pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Why an observer can't serve subscribers.
+#[derive(Debug, thiserror::Error)]
+pub enum ServiceError {
+    /// Its address can't be used.
+    #[error(
+        "subscribers can't connect at {address}: {source}; choose an address of this machine that is free"
+    )]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What is wrong with it.
+        source: std::io::Error,
+    },
+}
+
+/// A subscriber that has greeted.
+struct Greeted {
+    outbox: Rc<Outbox>,
+    task: Task<()>,
+}
+
+/// A member's service to subscribers. It ends with the last reference to it.
+pub struct ObserverService {
+    me: Weak<ObserverService>,
+    cluster: Rc<Cluster>,
+    address: SocketAddr,
+    core: RefCell<Observer>,
+    queue_limit: usize,
+    alarm: Rc<Alarm>,
+    progress_at: Cell<Micros>,
+    next_connection: Cell<ConnectionId>,
+    ungreeted: RefCell<BTreeMap<ConnectionId, Task<()>>>,
+    greeted: RefCell<BTreeMap<ConnectionId, Greeted>>,
+    counter: Counter,
+    tasks: RefCell<Vec<Task<()>>>,
+}
+
+impl ObserverService {
+    /// Begins to serve a member's copy at an address, on the member's executor.
+    ///
+    /// # Errors
+    ///
+    /// The address can't be used.
+    pub fn start(
+        cluster: &Rc<Cluster>,
+        listen: SocketAddr,
+        config: ObserverConfig,
+    ) -> Result<Rc<Self>, ServiceError> {
+        let failed = |source| ServiceError::Listen { address: listen, source };
+        let listener = Async::<TcpListener>::bind(listen).map_err(failed)?;
+        let address = listener.get_ref().local_addr().map_err(failed)?;
+        let now = boot();
+        let service = Rc::new_cyclic(|me| ObserverService {
+            me: me.clone(),
+            cluster: Rc::clone(cluster),
+            address,
+            queue_limit: config.queue_bytes.saturating_add(LONGEST_MESSAGE),
+            core: RefCell::new(Observer::new(config, now)),
+            alarm: Rc::default(),
+            progress_at: Cell::new(now),
+            next_connection: Cell::new(1),
+            ungreeted: RefCell::default(),
+            greeted: RefCell::default(),
+            counter: Counter::default(),
+            tasks: RefCell::default(),
+        });
+        let me = Rc::downgrade(&service);
+        cluster.on_applied(Rc::new(move |store| {
+            me.upgrade().into_iter().for_each(|service| service.applied(store));
+        }));
+        let tasks = [
+            cluster.executor().spawn(listen_for_subscribers(Rc::downgrade(&service), listener)),
+            cluster.executor().spawn(keep_time(Rc::downgrade(&service), Rc::clone(&service.alarm))),
+        ];
+        service.tasks.borrow_mut().extend(tasks);
+        Ok(service)
+    }
+
+    /// Where subscribers connect.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// How far this observer's subscribers are.
+    #[must_use]
+    pub fn progress(&self) -> ProgressSummary {
+        self.core.borrow().progress(boot())
+    }
+
+    /// Subscribers connected now.
+    #[must_use]
+    pub fn subscribers(&self) -> usize {
+        self.greeted.borrow().len()
+    }
+
+    /// Messages and bytes exchanged with subscribers.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.counter.traffic()
+    }
+
+    fn applied(&self, store: &Store) {
+        self.core.borrow_mut().applied(boot(), store);
+        self.carry_out();
+    }
+
+    /// Does something with the core, and carries out what follows.
+    fn with<T>(&self, act: impl FnOnce(&mut Observer, Micros, &Store) -> T) -> T {
+        let done = self.cluster.store(|store| act(&mut self.core.borrow_mut(), boot(), store));
+        self.carry_out();
+        done
+    }
+
+    fn carry_out(&self) {
+        loop {
+            let actions = self.core.borrow_mut().actions();
+            if actions.is_empty() {
+                break;
+            }
+            // What goes to many connections one after another is encoded once.
+            let mut last: Option<(FromObserver, SharedFrame)> = None;
+            for action in actions {
+                match action {
+                    ObserverAction::Send(to, message) => self.send(to, message, &mut last),
+                    ObserverAction::Close(connection, refusal) => self.refuse(connection, refusal),
+                    ObserverAction::Read(read) => self.read(read),
+                }
+            }
+        }
+        self.alarm.set(self.core.borrow().next_tick().min(self.progress_at.get()));
+    }
+
+    fn send(&self, to: ConnectionId, message: FromObserver, last: &mut Option<(FromObserver, SharedFrame)>) {
+        let same = last.as_ref().filter(|(encoded, _)| *encoded == message);
+        let frame = match same {
+            Some((_, frame)) => Rc::clone(frame),
+            None => match wire::frame(&message) {
+                Some(frame) => Rc::new(frame),
+                None => return self.drop_connection(to, "frame_too_long"),
+            },
+        };
+        let outbox = self.outbox(to);
+        let sent = outbox.is_some_and(|outbox| outbox.push(Rc::clone(&frame)));
+        if sent {
+            self.counter.sent(frame.len());
+        } else {
+            self.drop_connection(to, "too_slow");
+        }
+        *last = Some((message, frame));
+    }
+
+    fn outbox(&self, of: ConnectionId) -> Option<Rc<Outbox>> {
+        self.greeted.borrow().get(&of).map(|greeted| Rc::clone(&greeted.outbox))
+    }
+
+    /// Tells a subscriber why it is turned away, and closes its connection once that has left. The core has forgotten
+    /// it.
+    fn refuse(&self, connection: ConnectionId, refusal: Refusal) {
+        let Some(outbox) = self.outbox(connection) else { return };
+        let code = refusal.code();
+        if let Some(frame) = wire::frame(&FromObserver::Refused(refusal)) {
+            outbox.push(Rc::new(frame));
+        }
+        outbox.finish(code);
+    }
+
+    /// Ends a connection at once.
+    fn drop_connection(&self, connection: ConnectionId, reason: &'static str) {
+        if let Some(outbox) = self.outbox(connection) {
+            outbox.abort(reason);
+            self.core.borrow_mut().disconnect(boot(), connection);
+        }
+    }
+
+    /// Asks the cluster whether the copy is current, for all questions that came so far.
+    fn read(&self, read: ReadId) {
+        let (me, cluster) = (self.me.clone(), Rc::clone(&self.cluster));
+        let asked = async move {
+            let current = cluster.current(READ_WITHIN).await;
+            if let Some(service) = me.upgrade() {
+                service.with(|core, now, store| core.read_ended(now, read, current, store));
+            }
+        };
+        self.cluster.executor().spawn(asked).detach();
+    }
+
+    fn tick(&self) {
+        self.with(|core, now, store| core.tick(now, store));
+        let now = boot();
+        if now >= self.progress_at.get() {
+            self.progress_at.set(now.saturating_add(PROGRESS_EVERY));
+            self.cluster.report_progress(self.progress());
+            self.alarm.set(self.core.borrow().next_tick().min(self.progress_at.get()));
+        }
+    }
+
+    fn accept(&self, stream: Async<TcpStream>, peer: SocketAddr) {
+        let mut ungreeted = self.ungreeted.borrow_mut();
+        if ungreeted.len() >= MOST_UNGREETED {
+            ungreeted.pop_first();
+            tracing::info!("a subscriber's connection ended reason=greeting_gave_way");
+        }
+        let id = self.next_connection.get();
+        self.next_connection.set(id + 1);
+        let task = self.cluster.executor().spawn(subscriber::serve(self.me.clone(), id, stream, peer));
+        ungreeted.insert(id, task);
+    }
+
+    /// A subscriber has greeted: the answer, and its queue if it is taken.
+    fn greet(&self, id: ConnectionId, hello: &SubscriberHello) -> (ObserverWelcome, Option<Rc<Outbox>>) {
+        let welcome = self.with(|core, now, store| core.connect(now, id, hello, store));
+        if welcome.refused.is_some() {
+            return (welcome, None);
+        }
+        let Some(task) = self.ungreeted.borrow_mut().remove(&id) else { return (welcome, None) };
+        let outbox = Outbox::new(self.queue_limit);
+        self.greeted.borrow_mut().insert(id, Greeted { outbox: Rc::clone(&outbox), task });
+        (welcome, Some(outbox))
+    }
+
+    /// A connection has ended; its task ends with this call.
+    fn ended(&self, id: ConnectionId) {
+        if let Some(task) = self.ungreeted.borrow_mut().remove(&id) {
+            task.detach();
+        }
+        let greeted = self.greeted.borrow_mut().remove(&id);
+        if let Some(Greeted { outbox, task }) = greeted {
+            task.detach();
+            // The core has forgotten those that it turned away.
+            if !outbox.is_ending() {
+                self.with(|core, now, _| core.disconnect(now, id));
+            }
+        }
+    }
+}
+
+async fn listen_for_subscribers(of: Weak<ObserverService>, listener: Async<TcpListener>) {
+    loop {
+        let accepted = listener.accept().await;
+        let Some(service) = of.upgrade() else { return };
+        match accepted {
+            Ok((stream, peer)) => service.accept(stream, peer),
+            Err(e) => {
+                drop(service);
+                tracing::info!("subscribers' accept failed: {e}");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+        future::yield_now().await;
+    }
+}
+
+/// Tells the core the time whenever it wants to be.
+async fn keep_time(of: Weak<ObserverService>, alarm: Rc<Alarm>) {
+    while let Some(service) = of.upgrade() {
+        service.tick();
+        drop(service);
+        alarm.due().await;
+    }
+}
--- a/cluster/node/src/runtime.rs
+++ b/cluster/node/src/runtime.rs
@@ -18,8 +18,9 @@
 use async_io::Async;
 use violetgate_consensus::{Index, Members, Meta, NodeId, Rejected};
 use violetgate_disk::{Disk, Folder, Identity};
+use violetgate_distribution::{FleetProgress, FleetTotals, ProgressSummary};
 use violetgate_member::{Answer, Effect, Found, Manner, Member, Ticket};
-use violetgate_state::{Stale, Store};
+use violetgate_state::{Micros, Stale, Store};
 
 use crate::clock::{boot, wall, Alarm};
 use crate::transport::Transport;
@@ -33,6 +34,9 @@
 /// Calls of other members that are carried out at a time; more are turned away, and come again.
 const MOST_ASKED: usize = 1_000;
 
+/// A report of an observer counts for so long.
+const PROGRESS_FRESH: Micros = 1_000_000;
+
 /// What a member is told at its start.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -72,7 +76,9 @@
     transport: Rc<Transport>,
     executor: Rc<LocalExecutor<'static>>,
     /// Called in the very turn in which more is applied, before anything else can be decided on it.
-    applied: RefCell<Option<OnApplied>>,
+    applied: RefCell<Vec<OnApplied>>,
+    /// How far front ends are, as observers report it.
+    fleet: RefCell<FleetProgress>,
     told: Cell<Index>,
     /// Calls that other members carry out for this one, and how many this one carries out for others.
     asked: RefCell<BTreeMap<u64, Rc<Slot>>>,
@@ -149,6 +155,7 @@
                 transport: Transport::new(Rc::clone(executor), &cluster, id, born, incoming),
                 executor: Rc::clone(executor),
                 applied: RefCell::default(),
+                fleet: RefCell::default(),
                 asked: RefCell::default(),
                 carrying: Cell::new(0),
                 jobs,
@@ -170,6 +177,17 @@
         Ok(me)
     }
 
+    /// This member's id.
+    #[must_use]
+    pub fn id(&self) -> NodeId {
+        self.member.borrow().node().id()
+    }
+
+    /// What its tasks run on.
+    pub(crate) fn executor(&self) -> &Rc<LocalExecutor<'static>> {
+        &self.executor
+    }
+
     /// The connections to other members.
     #[must_use]
     pub fn transport(&self) -> &Transport {
@@ -220,7 +238,7 @@
         let member = self.member.borrow();
         if self.told.replace(member.applied()) != member.applied() {
             let applied = self.applied.borrow().clone();
-            applied.into_iter().for_each(|f| f(member.store()));
+            applied.iter().for_each(|f| f(member.store()));
             self.watchers.borrow_mut().drain(..).for_each(Waker::wake);
         }
         self.alarm.set(member.next_tick());
@@ -248,6 +266,7 @@
     fn hear(&self, from: NodeId, frame: Frame) {
         match frame {
             Frame::Core(message) => self.with(|m| m.step(from, message)),
+            Frame::Progress(summary) => self.progress_came(from, summary),
             Frame::Told(number, answer) => {
                 let slot = self.asked.borrow().get(&number).cloned();
                 slot.into_iter().for_each(|slot| slot.fill(answer.clone()));
@@ -276,10 +295,31 @@
         self.born
     }
 
-    /// Names what is called in the very turn in which more is applied; it is called at once, too.
+    /// Adds to what is called in the very turn in which more is applied; it is called at once, too.
     pub fn on_applied(&self, f: OnApplied) {
         f(self.member.borrow().store());
-        *self.applied.borrow_mut() = Some(f);
+        self.applied.borrow_mut().push(f);
+    }
+
+    /// How far all front ends are, as observers have reported it of late.
+    #[must_use]
+    pub fn fleet_progress(&self) -> FleetTotals {
+        self.fleet.borrow().totals(boot(), PROGRESS_FRESH)
+    }
+
+    /// Reports how far this member's subscribers are to all members, this one among them.
+    pub(crate) fn report_progress(&self, summary: ProgressSummary) {
+        let Status { id, members, .. } = self.status();
+        let frame = Frame::Progress(summary.clone());
+        members.all().filter(|to| *to != id).for_each(|to| self.transport.send(to, &frame));
+        self.progress_came(id, summary);
+    }
+
+    fn progress_came(&self, from: NodeId, summary: ProgressSummary) {
+        // One that is no member any more is no observer either.
+        if self.member.borrow().members().contains(from) {
+            self.fleet.borrow_mut().report(boot(), from, summary);
+        }
     }
 
     /// The whole state as bytes, to be saved.
--- /dev/null
+++ b/cluster/node/src/subscription.rs
@@ -0,0 +1,213 @@
+//! A front end's side of the distribution: it connects to observers as the core asks, and keeps the replica.
+
+mod link;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+
+use async_executor::{LocalExecutor, Task};
+use violetgate_consensus::NodeId;
+use violetgate_distribution::{
+    FromSubscriber, Refusal, Replica, Subscriber, SubscriberAction, SubscriberConfig, SubscriberHello,
+};
+use violetgate_state::{Entries, Micros, Revision, Stale};
+
+use crate::clock::{boot, Alarm};
+use crate::outbox::Outbox;
+use crate::traffic::{Counter, Traffic};
+use crate::wire;
+
+/// Bytes that may wait for one observer: questions and requests are short and few.
+const QUEUE_LIMIT: usize = 64 << 10;
+
+/// What is called with the replica once more is applied to it.
+pub type OnReplica = Rc<dyn Fn(&Replica)>;
+
+/// What a subscription is at.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SubscriptionStatus {
+    /// The replica's revision.
+    pub revision: Revision,
+    /// The observer that it watches.
+    pub watched: Option<NodeId>,
+    /// The observer that it holds in reserve.
+    pub reserve: Option<NodeId>,
+    /// Whether state may be routed on, or how old it is.
+    pub fresh: Result<(), Stale>,
+    /// Why an observer turned this front end away last, while that is in force.
+    pub refusal: Option<Refusal>,
+}
+
+/// A connection to an observer, or an attempt at one.
+struct Link {
+    number: u64,
+    outbox: Rc<Outbox>,
+    task: Task<()>,
+}
+
+/// A front end's subscription. It ends with the last reference to it.
+pub struct Subscription {
+    me: Weak<Subscription>,
+    executor: Rc<LocalExecutor<'static>>,
+    addresses: BTreeMap<NodeId, SocketAddr>,
+    core: RefCell<Subscriber>,
+    alarm: Rc<Alarm>,
+    links: RefCell<BTreeMap<NodeId, Link>>,
+    next_link: Cell<u64>,
+    on_applied: RefCell<Vec<OnReplica>>,
+    told: Cell<Revision>,
+    counter: Counter,
+    timer: RefCell<Option<Task<()>>>,
+}
+
+impl Subscription {
+    /// Begins to subscribe to the observers at these addresses. Nothing may be sent until its state is confirmed.
+    #[must_use]
+    pub fn start(
+        executor: &Rc<LocalExecutor<'static>>,
+        config: SubscriberConfig,
+        addresses: BTreeMap<NodeId, SocketAddr>,
+        seed: u64,
+    ) -> Rc<Self> {
+        let subscription = Rc::new_cyclic(|me| Subscription {
+            me: me.clone(),
+            executor: Rc::clone(executor),
+            addresses,
+            core: RefCell::new(Subscriber::new(config, seed, boot())),
+            alarm: Rc::default(),
+            links: RefCell::default(),
+            next_link: Cell::new(1),
+            on_applied: RefCell::default(),
+            told: Cell::new(0),
+            counter: Counter::default(),
+            timer: RefCell::default(),
+        });
+        let timer = keep_time(Rc::downgrade(&subscription), Rc::clone(&subscription.alarm));
+        *subscription.timer.borrow_mut() = Some(executor.spawn(timer));
+        subscription
+    }
+
+    /// Adds to what is called in the very turn in which more is applied; it is called at once, too.
+    pub fn on_applied(&self, f: OnReplica) {
+        f(self.core.borrow().replica());
+        self.on_applied.borrow_mut().push(f);
+    }
+
+    /// Whether a send may leave now on the state that is here.
+    ///
+    /// # Errors
+    ///
+    /// The state is too old.
+    pub fn may_route(&self) -> Result<(), Stale> {
+        self.core.borrow().may_route(boot())
+    }
+
+    /// Reads the replica as it is applied here.
+    pub fn replica<T>(&self, read: impl FnOnce(&Replica) -> T) -> T {
+        read(self.core.borrow().replica())
+    }
+
+    /// What it is at.
+    #[must_use]
+    pub fn status(&self) -> SubscriptionStatus {
+        let core = self.core.borrow();
+        let (watched, reserve) = core.observers();
+        SubscriptionStatus {
+            revision: core.replica().revision(),
+            watched,
+            reserve,
+            fresh: core.may_route(boot()),
+            refusal: core.refusal().cloned(),
+        }
+    }
+
+    /// Messages and bytes exchanged with observers, greetings among them.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.counter.traffic()
+    }
+
+    /// Does something with the core, and carries out what follows.
+    fn with(&self, act: impl FnOnce(&mut Subscriber, Micros)) {
+        act(&mut self.core.borrow_mut(), boot());
+        self.tell_applied();
+        loop {
+            let actions = self.core.borrow_mut().actions();
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                match action {
+                    SubscriberAction::Connect(observer, hello) => self.connect(observer, hello),
+                    SubscriberAction::Disconnect(observer) => drop(self.links.borrow_mut().remove(&observer)),
+                    SubscriberAction::Send(observer, message) => self.send(observer, &message),
+                }
+            }
+        }
+        self.alarm.set(self.core.borrow().next_tick());
+    }
+
+    /// Tells what was applied, before anything else can be decided on it.
+    fn tell_applied(&self) {
+        let core = self.core.borrow();
+        let replica = core.replica();
+        if self.told.replace(replica.revision()) == replica.revision() {
+            return;
+        }
+        let callbacks = self.on_applied.borrow().clone();
+        callbacks.iter().for_each(|f| f(replica));
+    }
+
+    fn connect(&self, observer: NodeId, hello: SubscriberHello) {
+        let Some(address) = self.addresses.get(&observer).copied() else {
+            return self.core.borrow_mut().disconnected(boot(), observer, None);
+        };
+        let number = self.next_link.get();
+        self.next_link.set(number + 1);
+        let outbox = Outbox::new(QUEUE_LIMIT);
+        let place = link::Place { of: self.me.clone(), observer, number, address };
+        let task = self.executor.spawn(link::keep(place, hello, Rc::clone(&outbox)));
+        self.links.borrow_mut().insert(observer, Link { number, outbox, task });
+    }
+
+    fn send(&self, observer: NodeId, message: &FromSubscriber) {
+        let outbox = self.links.borrow().get(&observer).map(|link| Rc::clone(&link.outbox));
+        let Some(outbox) = outbox else { return };
+        match wire::frame(message) {
+            Some(frame) => {
+                self.counter.sent(frame.len());
+                if !outbox.push(Rc::new(frame)) {
+                    outbox.abort("queue_full");
+                }
+            }
+            None => outbox.abort("frame_too_long"),
+        }
+    }
+
+    /// Whether this is the connection to an observer that the core knows of.
+    fn holds(&self, observer: NodeId, number: u64) -> bool {
+        self.links.borrow().get(&observer).is_some_and(|link| link.number == number)
+    }
+
+    /// A connection has ended, or could not be made; its task ends with this call.
+    fn ended(&self, observer: NodeId, number: u64, refusal: Option<&Refusal>) {
+        if !self.holds(observer, number) {
+            return;
+        }
+        if let Some(link) = self.links.borrow_mut().remove(&observer) {
+            link.task.detach();
+        }
+        self.with(|core, now| core.disconnected(now, observer, refusal));
+    }
+}
+
+/// Tells the core the time whenever it wants to be.
+async fn keep_time(of: Weak<Subscription>, alarm: Rc<Alarm>) {
+    while let Some(subscription) = of.upgrade() {
+        subscription.with(|core, now| core.tick(now));
+        drop(subscription);
+        alarm.due().await;
+    }
+}
--- a/cluster/node/src/wire.rs
+++ b/cluster/node/src/wire.rs
@@ -3,6 +3,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use violetgate_consensus::{Change, Message, NodeId};
+use violetgate_distribution::ProgressSummary;
 use violetgate_member::Answer;
 use violetgate_state::Step;
 
@@ -42,6 +43,9 @@
     Ask(u64, Call),
     /// How what goes by that number ended.
     Told(u64, Answer),
+    /// How far the sender's subscribers are. A member from before observers ends a connection over it, so that every
+    /// member is upgraded before the first one serves subscribers; only such a one sends it.
+    Progress(ProgressSummary),
 }
 
 /// What the one that connects says first.
@@ -101,16 +105,20 @@
 
 /// Appends a frame. False: it would be too long, and nothing was appended.
 pub fn put(out: &mut Vec<u8>, value: &impl Serialize) -> bool {
-    let Ok(body) = postcard::to_stdvec(value) else { return false };
-    let Ok(length) = u32::try_from(body.len()) else { return false };
-    if body.len() > LONGEST {
-        return false;
-    }
-    out.extend_from_slice(&length.to_le_bytes());
-    out.extend_from_slice(&body);
+    let Some(frame) = frame(value) else { return false };
+    out.extend_from_slice(&frame);
     true
 }
 
+/// A frame by itself; `None`: it would be too long.
+pub fn frame(value: &impl Serialize) -> Option<Vec<u8>> {
+    let mut frame = postcard::to_extend(value, vec![0; HEAD]).ok()?;
+    let length = frame.len().checked_sub(HEAD).filter(|length| *length <= LONGEST)?;
+    let length = u32::try_from(length).ok()?;
+    frame.get_mut(..HEAD)?.copy_from_slice(&length.to_le_bytes());
+    Some(frame)
+}
+
 /// What stands at the start of the bytes read: a frame and its size, `None` while it is not whole.
 ///
 /// # Errors
