--- a/cluster/node/src/observer_service.rs
+++ b/cluster/node/src/observer_service.rs
@@ -29,6 +29,8 @@
 const READ_WITHIN: Duration = Duration::from_millis(400);
 /// Connections that have not greeted yet; beyond them the oldest gives way.
 const MOST_UNGREETED: usize = 512;
+/// How long a subscriber may take nothing; the core turns it away before, so that it can see why.
+const PATIENCE: Duration = Duration::from_secs(15);
 /// The pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -125,7 +127,7 @@
     /// Subscribers connected now.
     #[must_use]
     pub fn subscribers(&self) -> usize {
-        self.greeted.borrow().len()
+        self.core.borrow().sizes().subscribers
     }
 
     /// Messages and bytes exchanged with subscribers.
@@ -248,7 +250,7 @@
             return (welcome, None);
         }
         let Some(task) = self.ungreeted.borrow_mut().remove(&id) else { return (welcome, None) };
-        let outbox = Outbox::new(self.queue_limit);
+        let outbox = Outbox::new(self.queue_limit, PATIENCE);
         self.greeted.borrow_mut().insert(id, Greeted { outbox: Rc::clone(&outbox), task });
         (welcome, Some(outbox))
     }
--- a/cluster/node/src/outbox.rs
+++ b/cluster/node/src/outbox.rs
@@ -7,11 +7,12 @@
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
+use std::time::Duration;
 
 use async_io::Async;
 use futures_lite::FutureExt;
 
-use crate::connection::{late, STALLED};
+use crate::connection::late;
 
 /// A frame; one that goes to many connections is held once.
 pub(crate) type SharedFrame = Rc<Vec<u8>>;
@@ -19,6 +20,8 @@
 /// The queue of one connection.
 pub(crate) struct Outbox {
     limit: usize,
+    /// How long the other side may take nothing.
+    patience: Duration,
     frames: RefCell<VecDeque<SharedFrame>>,
     bytes: Cell<usize>,
     /// The connection ends for this reason once all is written.
@@ -27,10 +30,11 @@
 }
 
 impl Outbox {
-    /// An empty queue that takes no more than `limit` bytes.
-    pub(crate) fn new(limit: usize) -> Rc<Self> {
+    /// An empty queue that takes no more than `limit` bytes, and ends where the other side takes nothing for so long.
+    pub(crate) fn new(limit: usize, patience: Duration) -> Rc<Self> {
         Rc::new(Outbox {
             limit,
+            patience,
             frames: RefCell::default(),
             bytes: Cell::new(0),
             last: Cell::new(None),
@@ -86,7 +90,7 @@
             let mut rest = frame.as_slice();
             while !rest.is_empty() {
                 let some = async { stream.write_with(|mut s| s.write(rest)).await.map_err(|_| "reset") };
-                let n = match some.or(late("stalled", STALLED)).await {
+                let n = match some.or(late("stalled", self.patience)).await {
                     Ok(n) => n,
                     Err(reason) => return reason,
                 };
--- a/cluster/node/src/subscription.rs
+++ b/cluster/node/src/subscription.rs
@@ -15,6 +15,7 @@
 use violetgate_state::{Entries, Micros, Revision, Stale};
 
 use crate::clock::{boot, Alarm};
+use crate::connection::STALLED;
 use crate::outbox::Outbox;
 use crate::traffic::{Counter, Traffic};
 use crate::wire;
@@ -166,7 +167,7 @@
         };
         let number = self.next_link.get();
         self.next_link.set(number + 1);
-        let outbox = Outbox::new(QUEUE_LIMIT);
+        let outbox = Outbox::new(QUEUE_LIMIT, STALLED);
         let place = link::Place { of: self.me.clone(), observer, number, address };
         let task = self.executor.spawn(link::keep(place, hello, Rc::clone(&outbox)));
         self.links.borrow_mut().insert(observer, Link { number, outbox, task });
--- /dev/null
+++ b/cluster/node/tests/fleet/mod.rs
@@ -0,0 +1,186 @@
+//! Voters, observers and subscriptions on loopback, in one thread, with real files.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use async_executor::LocalExecutor;
+use async_io::Timer;
+use violetgate_cluster::{
+    Answered, Beginning, Call, Cluster, ObserverConfig, ObserverService, Options, SubscriberConfig,
+    Subscription,
+};
+use violetgate_consensus::{Change, NodeId};
+use violetgate_member::{Answer, Manner};
+use violetgate_state::{Entries, Op, Outcome, Revision, Step, Txn};
+
+/// How long anything may take on a busy machine.
+pub const WAIT: Duration = Duration::from_secs(60);
+/// How often a condition is looked at.
+const LOOK: Duration = Duration::from_millis(2);
+const CLUSTER: &str = "test";
+
+/// A cluster with its observers and its front ends.
+pub struct Fleet {
+    pub executor: Rc<LocalExecutor<'static>>,
+    folder: PathBuf,
+    addresses: BTreeMap<NodeId, SocketAddr>,
+    pub members: BTreeMap<NodeId, Rc<Cluster>>,
+    /// Where observers serve.
+    pub serving_at: BTreeMap<NodeId, SocketAddr>,
+    pub services: BTreeMap<NodeId, Rc<ObserverService>>,
+    pub subscriptions: Vec<Rc<Subscription>>,
+    requests: u64,
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, mut holds: impl FnMut() -> bool) {
+    let deadline = Instant::now() + WAIT;
+    while !holds() {
+        assert!(Instant::now() < deadline, "{what}: not in {WAIT:?}");
+        Timer::after(LOOK).await;
+    }
+}
+
+fn reserved() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+impl Fleet {
+    /// Starts voters 1 to `voters` and, as learners, the observers that follow; nothing is served yet.
+    pub fn start(name: &str, voters: u64, observers: u64) -> Self {
+        let folder = std::env::temp_dir().join(format!("violetgate-observers-{}-{name}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&folder);
+        let ids = 1..=voters + observers;
+        let held: Vec<_> = ids.clone().map(|id| (id, reserved())).collect();
+        let served: Vec<_> = (voters + 1..=voters + observers).map(|id| (id, reserved())).collect();
+        let mut fleet = Fleet {
+            executor: Rc::new(LocalExecutor::new()),
+            folder,
+            addresses: held.iter().map(|(id, (_, at))| (*id, *at)).collect(),
+            members: BTreeMap::new(),
+            serving_at: served.iter().map(|(id, (_, at))| (*id, *at)).collect(),
+            services: BTreeMap::new(),
+            subscriptions: Vec::new(),
+            requests: 0,
+        };
+        drop((held, served));
+        for id in ids {
+            let members = if id <= voters { (1..=voters).collect() } else { Vec::new() };
+            let folder = fleet.folder.join(id.to_string());
+            let from = Beginning { members, state: Vec::new() };
+            Cluster::begin(CLUSTER, id, &folder, 100 + id, from).unwrap();
+            fleet.start_member(id);
+        }
+        fleet
+    }
+
+    fn start_member(&mut self, id: NodeId) {
+        let options = Options {
+            cluster: CLUSTER.to_owned(),
+            id,
+            folder: self.folder.join(id.to_string()),
+            listen: self.addresses[&id],
+            members: self.addresses.clone(),
+            manner: Manner { snapshot_every: 1_000, ..Manner::default() },
+            seed: 7 + id,
+        };
+        self.members.insert(id, Cluster::start(&self.executor, &options).unwrap());
+    }
+
+    /// Adds the observers to the cluster as learners and begins to serve; the configuration is changed as wanted.
+    pub async fn serve(&mut self, change: impl Fn(&mut ObserverConfig)) {
+        for id in self.serving_at.keys().copied().collect::<Vec<_>>() {
+            self.agree(Call::Change(Change::Add(id))).await;
+            self.serve_at(id, &change).await;
+        }
+    }
+
+    /// Begins to serve at one observer, once its address is free.
+    pub async fn serve_at(&mut self, id: NodeId, change: impl Fn(&mut ObserverConfig)) {
+        let mut config = ObserverConfig::default_for(CLUSTER, id);
+        change(&mut config);
+        let mut service = None;
+        until("an observer serves", || {
+            service = ObserverService::start(&self.members[&id], self.serving_at[&id], config.clone()).ok();
+            service.is_some()
+        })
+        .await;
+        self.services.insert(id, service.unwrap());
+    }
+
+    /// Ends an observer: its service and its member.
+    pub fn kill(&mut self, id: NodeId) {
+        self.services.remove(&id);
+        self.members.remove(&id);
+    }
+
+    pub fn subscriber_config(&self, name: &str) -> SubscriberConfig {
+        SubscriberConfig::default_for(CLUSTER, name, self.serving_at.keys().copied().collect())
+    }
+
+    /// Starts so many front ends.
+    pub fn subscribe(&mut self, count: usize) {
+        for _ in 0..count {
+            let number = self.subscriptions.len();
+            let config = self.subscriber_config(&format!("fe-{number}"));
+            let subscription =
+                Subscription::start(&self.executor, config, self.serving_at.clone(), 1_000 + number as u64);
+            self.subscriptions.push(subscription);
+        }
+    }
+
+    /// Has a call agreed on by whoever leads.
+    pub async fn agree(&mut self, call: Call) -> Answer {
+        self.requests += 1;
+        loop {
+            let member = Rc::clone(self.members.values().next().unwrap());
+            if let Answered::Yes(answer) = member.agree(call.clone(), WAIT).await {
+                return answer;
+            }
+        }
+    }
+
+    /// Takes a step, once; the revision after it.
+    pub async fn step(&mut self, step: Step) -> Revision {
+        let call = Call::Propose { request: format!("r-{}", self.requests), who: "test".to_owned(), step };
+        match self.agree(call).await {
+            Answer::Done(Outcome::Done { revision, .. }) => revision,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Sets a key; the revision that it made.
+    pub async fn put(&mut self, key: &str, value: &[u8]) -> Revision {
+        let op = Op::Put { key: key.to_owned(), value: value.to_vec(), lease: None };
+        self.step(Step::Txn(Txn { then: vec![op], ..Txn::default() })).await
+    }
+
+    /// Waits until every front end has a revision and may route.
+    pub async fn in_force(&self, revision: Revision) {
+        until("a change is in force everywhere", || {
+            let current = |s: &Rc<Subscription>| s.status().revision >= revision && s.may_route().is_ok();
+            self.subscriptions.iter().all(current)
+        })
+        .await;
+    }
+
+    /// Every front end holds the very entries that a member has.
+    pub fn same_everywhere(&self) {
+        let member = self.members.values().next().unwrap();
+        let held = member.store(|store| store.entries_below(""));
+        for subscription in &self.subscriptions {
+            assert_eq!(subscription.replica(|replica| replica.entries_below("")), held);
+        }
+    }
+}
--- /dev/null
+++ b/cluster/node/tests/raw/mod.rs
@@ -0,0 +1,112 @@
+//! A subscriber written by hand, which may say anything.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use async_io::{Async, Timer};
+use futures_lite::FutureExt;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use violetgate_distribution::{FromObserver, ObserverWelcome, Refusal, SubscriberHello, MAGIC, VERSION};
+
+use crate::fleet::WAIT;
+
+pub struct Raw {
+    stream: Async<TcpStream>,
+    input: Vec<u8>,
+}
+
+impl Raw {
+    /// A greeting that is right.
+    pub fn hello(observer: u64, name: &str) -> SubscriberHello {
+        SubscriberHello {
+            magic: MAGIC,
+            version: VERSION,
+            cluster: "test".to_owned(),
+            observer,
+            name: name.to_owned(),
+            revision: 0,
+        }
+    }
+
+    pub async fn connect(at: SocketAddr) -> Self {
+        Raw { stream: Async::<TcpStream>::connect(at).await.unwrap(), input: Vec::new() }
+    }
+
+    /// Connects and is taken.
+    pub async fn greeted(at: SocketAddr, hello: &SubscriberHello) -> Self {
+        loop {
+            let mut raw = Raw::connect(at).await;
+            raw.send(hello).await;
+            // The place of one that has just been turned away may not be free yet.
+            match raw.welcome().await.refused {
+                None => return raw,
+                Some(Refusal::Full { .. }) => {}
+                Some(other) => panic!("{other}"),
+            }
+        }
+    }
+
+    /// Writes bytes; that the other side has gone already is seen in reading.
+    pub async fn write(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            match self.stream.write_with(|mut s| s.write(bytes)).await {
+                Ok(n) => bytes = &bytes[n..],
+                Err(_) => return,
+            }
+        }
+    }
+
+    pub async fn send(&mut self, message: &impl Serialize) {
+        let body = postcard::to_stdvec(message).unwrap();
+        let mut frame = u32::try_from(body.len()).unwrap().to_le_bytes().to_vec();
+        frame.extend(body);
+        self.write(&frame).await;
+    }
+
+    /// What comes next; `None`: the end.
+    async fn next<T: DeserializeOwned>(&mut self) -> Option<T> {
+        let mut chunk = [0; 4096];
+        loop {
+            if let Some((length, rest)) = self.input.split_first_chunk::<4>() {
+                let length = u32::from_le_bytes(*length) as usize;
+                if rest.len() >= length {
+                    let value = postcard::from_bytes(&rest[..length]).unwrap();
+                    self.input.drain(..4 + length);
+                    return Some(value);
+                }
+            }
+            let read = async { self.stream.read_with(|mut s| s.read(&mut chunk)).await.unwrap_or(0) };
+            let late = async {
+                Timer::after(WAIT).await;
+                panic!("nothing comes in {WAIT:?}")
+            };
+            match read.or(late).await {
+                0 => return None,
+                n => self.input.extend_from_slice(&chunk[..n]),
+            }
+        }
+    }
+
+    pub async fn welcome(&mut self) -> ObserverWelcome {
+        self.next().await.expect("an answer to the greeting")
+    }
+
+    pub async fn message(&mut self) -> FromObserver {
+        self.next().await.expect("a message")
+    }
+
+    /// Passes over messages until one says why the connection ends.
+    pub async fn refused(&mut self) -> Refusal {
+        loop {
+            if let FromObserver::Refused(refusal) = self.message().await {
+                return refusal;
+            }
+        }
+    }
+
+    /// Waits until the other side ends the connection.
+    pub async fn closed(&mut self) {
+        while self.next::<FromObserver>().await.is_some() {}
+    }
+}
--- a/deploy/violetgate.hcl
+++ b/deploy/violetgate.hcl
@@ -30,6 +30,7 @@
 # This instance as a member of a cluster (docs/daemon-operations.md). This block, too, has to be taken out where none is
 # wanted; on the platform of balancer.toml, where instances share nothing, there is none.
 cluster {
+  role = "member"
   name = "wards"
   id = 1
   folder = "/var/lib/violetgate"
@@ -45,8 +46,24 @@
   election_timeout = "500ms"
   heartbeat = "100ms"
   snapshot_every = 10000
+  subscribers_listen = "0.0.0.0:0"
+  subscribers = 4000
 }
 
+# A front end that subscribes has this block instead: it follows what the members agree on and keeps nothing on disk.
+#
+# cluster {
+#   role = "subscriber"
+#   name = "wards"
+#   front_end = "fe-17"
+#   observers = {
+#     "6" = "127.0.0.1:7206"
+#     "7" = "127.0.0.1:7207"
+#   }
+#   drain_limit = "2s"
+#   confirm_every = "250ms"
+# }
+
 # This front end as one of a fleet that shares engines (docs/fleet-operations.md). It, too, has to be taken out where none
 # is wanted; on the platform of balancer.toml, where front ends may not talk to each other, there is none.
 fleet {
--- a/violetgate/src/admin/http.rs
+++ b/violetgate/src/admin/http.rs
@@ -20,6 +20,8 @@
     RequestTimeout = 408,
     /// A body comes without its length.
     LengthRequired = 411,
+    /// It is to be called for elsewhere.
+    Conflict = 409,
     /// The body is too long.
     ContentTooLarge = 413,
     /// The head is too long.
@@ -39,6 +41,7 @@
             Status::LengthRequired => "Length Required",
             Status::ContentTooLarge => "Content Too Large",
             Status::HeadTooLarge => "Request Header Fields Too Large",
+            Status::Conflict => "Conflict",
             Status::ServiceUnavailable => "Service Unavailable",
         }
     }
--- a/violetgate/src/admin/mod.rs
+++ b/violetgate/src/admin/mod.rs
@@ -50,6 +50,8 @@
     Unknown,
     /// Other instances have not agreed to it in its time; it may still come to hold.
     Unagreed,
+    /// This front end subscribes to a cluster: only its members can have something agreed on.
+    NotAMember,
 }
 
 /// A call under way.
@@ -198,6 +200,9 @@
             Status::ServiceUnavailable,
             "not agreed on in its time; it may still come to hold: call again",
         ),
+        Called::NotAMember => {
+            told(Status::Conflict, "this front end subscribes to a cluster: call at a member's API")
+        }
     }
 }
 
--- a/violetgate/src/ctl.rs
+++ b/violetgate/src/ctl.rs
@@ -524,6 +524,9 @@
 fn begin(file: &Path, join: bool, state: Vec<u8>) -> Result<(), String> {
     let settings = settings::read(Some(file))?;
     let given = settings.cluster.ok_or_else(|| format!("{}: there is no `cluster` block", file.display()))?;
+    if given.role == settings::ClusterRole::Subscriber {
+        return Err(format!("{}: `cluster.role`: a subscriber has no folder", file.display()));
+    }
     let mut born = [0; 8];
     getrandom::fill(&mut born).map_err(|e| format!("no random numbers: {e}"))?;
     let members = if join { Vec::new() } else { given.addresses().into_keys().collect() };
--- /dev/null
+++ b/violetgate/src/daemon/adoption.rs
@@ -0,0 +1,160 @@
+//! What this instance has taken from the agreed state, and what of it is still to be done: the same for a member, which
+//! holds the state itself, and for a front end that subscribes.
+
+use std::cell::{Cell, OnceCell, Ref, RefCell};
+use std::rc::Rc;
+
+use violetgate_state::{Entries, Revision};
+
+use super::agreed::{self, List, Move, View};
+use crate::bus::{Ids, Place};
+use crate::clock::Clock;
+use crate::dispatch::Dispatch;
+use crate::door::Door;
+use crate::log;
+use crate::rest::Rest;
+use crate::settings::{Agreed, Settings};
+
+/// What agreed state reaches.
+pub struct Parts {
+    /// The one clock.
+    pub clock: Clock,
+    /// The decisions.
+    pub dispatch: Rc<Dispatch>,
+    /// Whether clients are let in.
+    pub door: Rc<Door>,
+    /// Engines' numbers by name.
+    pub ids: Rc<Ids>,
+    /// Where the bus is.
+    pub place: Rc<Place>,
+    /// The REST front, if there is one.
+    pub rest: Option<Rc<Rest>>,
+}
+
+/// The agreed state as this instance has adopted it.
+pub(super) struct Adoption {
+    /// By what name it is drained.
+    instance: String,
+    parts: OnceCell<Parts>,
+    /// This instance's own settings, under the agreed ones.
+    own: RefCell<Settings>,
+    seen: Cell<Option<Revision>>,
+    view: RefCell<View>,
+    /// It was drained by itself, not by agreement.
+    drained_here: Cell<bool>,
+}
+
+impl Adoption {
+    /// Nothing is adopted yet.
+    pub fn new(instance: String, own: &Settings) -> Self {
+        Adoption {
+            instance,
+            parts: OnceCell::new(),
+            own: RefCell::new(own.clone()),
+            seen: Cell::new(None),
+            view: RefCell::default(),
+            drained_here: Cell::new(false),
+        }
+    }
+
+    /// Names what agreed state reaches. Nothing may be sent from then on until the state is confirmed.
+    pub fn attach(&self, parts: Parts) {
+        parts.door.fence(true);
+        let _ = self.parts.set(parts);
+    }
+
+    /// What agreed state reaches, once that is known.
+    pub fn parts(&self) -> Option<&Parts> {
+        self.parts.get()
+    }
+
+    /// What holds now.
+    pub fn view(&self) -> Ref<'_, View> {
+        self.view.borrow()
+    }
+
+    /// This instance's own settings.
+    pub fn own(&self) -> Ref<'_, Settings> {
+        self.own.borrow()
+    }
+
+    /// Does what is agreed on and was not done yet. Whether members are elsewhere, or others.
+    pub fn adopt(&self, entries: &impl Entries) -> bool {
+        let revision = entries.revision();
+        if self.seen.replace(Some(revision)) == Some(revision) {
+            return false;
+        }
+        let now = View::read(entries, &self.instance);
+        let before = self.view.replace(now.clone());
+        let Some(parts) = self.parts.get() else { return false };
+        let mut members = false;
+        for step in before.moves(&now) {
+            match step {
+                Move::Cordon(name, out) => {
+                    log::line(format_args!("engine {name} is called {}", if out { "out" } else { "back" }));
+                    parts.dispatch.cordon(parts.ids.number(&name), out);
+                }
+                Move::Drain(_) => self.set_door(parts),
+                Move::Settings(settings) => {
+                    let version = settings.map_or(0, |s| s.0);
+                    log::line(format_args!("cluster settings version={version} hold"));
+                    self.take_settings(parts);
+                }
+                Move::Members => members = true,
+            }
+        }
+        if !parts.place.heard() {
+            if let Some(List { last, engines }) = agreed::list(entries) {
+                parts.place.offer((last, engines));
+            }
+        }
+        members
+    }
+
+    /// Drains this instance by itself, or ends that; what is agreed on stays.
+    pub fn drain_here(&self, on: bool) {
+        self.drained_here.set(on);
+        self.parts.get().into_iter().for_each(|parts| self.set_door(parts));
+    }
+
+    fn set_door(&self, parts: &Parts) {
+        if self.drained_here.get() || self.view.borrow().drained {
+            parts.door.quiesce(parts.clock.now());
+        } else {
+            parts.door.resume();
+        }
+    }
+
+    /// The settings that hold here: the agreed ones over this instance's own.
+    pub fn settings(&self) -> Settings {
+        let own = self.own.borrow();
+        let agreed = self.view.borrow().settings.clone();
+        match agreed.map(|(version, text)| (version, Agreed::parse(&text))) {
+            Some((_, Ok(agreed))) => agreed.over(&own),
+            Some((version, Err(problems))) => {
+                // Another member, of another version of the program, has let it pass.
+                let first = problems.first().map(ToString::to_string).unwrap_or_default();
+                log::line(format_args!("cluster settings version={version} can't be used here: {first}"));
+                own.clone()
+            }
+            None => own.clone(),
+        }
+    }
+
+    fn take_settings(&self, parts: &Parts) {
+        if let (Some(rest), Some(settings)) = (&parts.rest, &self.settings().rest) {
+            rest.limit(settings);
+        }
+    }
+
+    /// This instance's own settings were read anew.
+    pub fn set_own(&self, own: &Settings) {
+        *self.own.borrow_mut() = own.clone();
+        self.parts.get().into_iter().for_each(|parts| self.take_settings(parts));
+    }
+
+    /// Requests and attempts that were not sent on old state.
+    pub fn turned_away(&self) -> u64 {
+        self.parts.get().map_or(0, |parts| parts.dispatch.turned_away())
+    }
+}
--- a/violetgate/src/daemon/agreed.rs
+++ b/violetgate/src/daemon/agreed.rs
@@ -1,10 +1,10 @@
-//! What members agree on, as keys of the store, and what follows for this instance. It does no I/O and keeps no time:
-//! a view is read from a store, and the moves between two views are what has to be done.
+//! What members agree on, as keys of the state, and what follows for this instance. It does no I/O and keeps no time:
+//! a view is read from a state, and the moves between two views are what has to be done.
 //!
 //! | key | holds |
 //! | --- | --- |
 //! | `cordons/ENGINE` | an engine is called out: who by |
-//! | `drains/MEMBER` | an instance is drained: who by |
+//! | `drains/MEMBER`, `drains/FRONT_END` | an instance is drained: who by |
 //! | `settings/current` | the version of the agreed settings that holds |
 //! | `settings/versions/N` | the text of one |
 //! | `members/MEMBER` | where a member is, and by what number its disk goes |
@@ -17,7 +17,7 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
-use violetgate_state::{Check, Op, Revision, Store, Txn, MAX_OPS, MAX_VALUE};
+use violetgate_state::{Check, Entries, Op, Revision, Txn, MAX_OPS, MAX_VALUE};
 
 use crate::settings::{Agreed, Problem};
 
@@ -43,7 +43,7 @@
     by: String,
 }
 
-/// What a store means for one instance.
+/// What a state means for one instance.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct View {
     /// Engines that are called out.
@@ -69,42 +69,40 @@
     Members,
 }
 
-fn below<'a>(store: &'a Store, prefix: &'a str) -> impl Iterator<Item = (String, Vec<u8>)> + 'a {
-    let listed = store.list(prefix, None, None, usize::MAX).map(|l| l.entries).unwrap_or_default();
-    listed
-        .into_iter()
-        .map(move |(key, _, value)| (key.get(prefix.len()..).unwrap_or_default().to_owned(), value))
+fn below(state: &impl Entries, prefix: &'static str) -> impl Iterator<Item = (String, Vec<u8>)> {
+    let listed = state.entries_below(prefix).into_iter();
+    listed.map(|(key, _, value)| (key.get(prefix.len()..).unwrap_or_default().to_owned(), value))
 }
 
-fn number(store: &Store, key: &str) -> Option<u64> {
-    std::str::from_utf8(store.get(key)?.1).ok()?.parse().ok()
+fn number(state: &impl Entries, key: &str) -> Option<u64> {
+    std::str::from_utf8(state.entry(key)?.1).ok()?.parse().ok()
 }
 
 /// The text of a version of the settings.
 #[must_use]
-pub fn version(store: &Store, version: u64) -> Option<String> {
-    let (_, text) = store.get(&version_key(version))?;
-    String::from_utf8(text.clone()).ok()
+pub fn version(state: &impl Entries, version: u64) -> Option<String> {
+    let (_, text) = state.entry(&version_key(version))?;
+    String::from_utf8(text.to_vec()).ok()
 }
 
 /// The version of the settings that holds; 0: none does.
 #[must_use]
-pub fn current_version(store: &Store) -> u64 {
-    number(store, "settings/current").unwrap_or(0)
+pub fn current_version(state: &impl Entries) -> u64 {
+    number(state, "settings/current").unwrap_or(0)
 }
 
 /// The versions that are kept, each with the revision that made it, oldest first.
 #[must_use]
-pub fn versions(store: &Store) -> Vec<(u64, Revision)> {
+pub fn versions(state: &impl Entries) -> Vec<(u64, Revision)> {
     let prefix = "settings/versions/";
-    let listed = store.list(prefix, None, None, usize::MAX).map(|l| l.entries).unwrap_or_default();
+    let listed = state.entries_below(prefix);
     listed.iter().filter_map(|(key, at, _)| Some((key.get(prefix.len()..)?.parse().ok()?, *at))).collect()
 }
 
 /// The version that a revision made.
 #[must_use]
-pub fn version_of(store: &Store, revision: Revision) -> Option<u64> {
-    versions(store).into_iter().find(|(_, at)| *at == revision).map(|(version, _)| version)
+pub fn version_of(state: &impl Entries, revision: Revision) -> Option<u64> {
+    versions(state).into_iter().find(|(_, at)| *at == revision).map(|(version, _)| version)
 }
 
 fn version_key(version: u64) -> String {
@@ -112,17 +110,17 @@
 }
 
 impl View {
-    /// What a store means for the instance with this id.
+    /// What agreed state means for an instance: a member by its id, a front end that subscribes by its name.
     #[must_use]
-    pub fn read(store: &Store, me: u64) -> Self {
-        let current = number(store, "settings/current");
+    pub fn read(state: &impl Entries, me: &str) -> Self {
+        let current = number(state, "settings/current");
         let record =
             |(id, bytes): (String, Vec<u8>)| Some((id.parse().ok()?, serde_json::from_slice(&bytes).ok()?));
         View {
-            cordons: below(store, "cordons/").map(|(name, _)| name).collect(),
-            drained: store.get(&format!("drains/{me}")).is_some(),
-            settings: current.and_then(|n| Some((n, version(store, n)?))),
-            members: below(store, "members/").filter_map(record).collect(),
+            cordons: below(state, "cordons/").map(|(name, _)| name).collect(),
+            drained: state.entry(&format!("drains/{me}")).is_some(),
+            settings: current.and_then(|n| Some((n, version(state, n)?))),
+            members: below(state, "members/").filter_map(record).collect(),
         }
     }
 
@@ -180,15 +178,15 @@
 
 /// Drains an instance, or lets it take clients again.
 #[must_use]
-pub fn drain(member: u64, on: bool, who: &str) -> Txn {
-    marked(format!("drains/{member}"), on, who)
+pub fn drain(instance: &str, on: bool, who: &str) -> Txn {
+    marked(format!("drains/{instance}"), on, who)
 }
 
 /// Records where a member is: held only while no other disk goes by its id.
 #[must_use]
-pub fn member(store: &Store, id: u64, record: &Record) -> Option<Txn> {
+pub fn member(state: &impl Entries, id: u64, record: &Record) -> Option<Txn> {
     let key = format!("members/{id}");
-    let held = store.get(&key);
+    let held = state.entry(&key);
     let before: Option<Record> = held.and_then(|(_, bytes)| serde_json::from_slice(bytes).ok());
     if before.as_ref() == Some(record) {
         return None;
@@ -219,16 +217,16 @@
 /// # Errors
 ///
 /// It can't be used, and is proposed to nobody.
-pub fn settings(store: &Store, text: &str, expected: Option<u64>) -> Result<(u64, Txn), Unfit> {
+pub fn settings(state: &impl Entries, text: &str, expected: Option<u64>) -> Result<(u64, Txn), Unfit> {
     Agreed::parse(text).map_err(Unfit::Problems)?;
     if text.len() > MAX_VALUE {
         return Err(Unfit::TooLong);
     }
-    let current = current_version(store);
+    let current = current_version(state);
     if expected.is_some_and(|e| e != current) {
         return Err(Unfit::Replaced(current));
     }
-    let changed = store.get("settings/current").map_or(0, |(revision, _)| revision);
+    let changed = state.entry("settings/current").map_or(0, |(revision, _)| revision);
     let next = current + 1;
     let mut then = vec![put(version_key(next), text), put("settings/current".to_owned(), next.to_string())];
     if let Some(old) = next.checked_sub(VERSIONS) {
@@ -244,9 +242,9 @@
 /// # Errors
 ///
 /// It is not kept, or can't be used any more.
-pub fn roll_back(store: &Store, to: u64) -> Result<(u64, Txn), Unfit> {
-    let text = version(store, to).ok_or(Unfit::Unknown)?;
-    settings(store, &text, None)
+pub fn roll_back(state: &impl Entries, to: u64) -> Result<(u64, Txn), Unfit> {
+    let text = version(state, to).ok_or(Unfit::Unknown)?;
+    settings(state, &text, None)
 }
 
 /// The engine list as the event bus told it: the last event's number, and engines by name in the bus's own words.
@@ -260,29 +258,29 @@
 
 /// The list that the members have kept.
 #[must_use]
-pub fn list(store: &Store) -> Option<List> {
+pub fn list(state: &impl Entries) -> Option<List> {
     let engine = |(name, bytes): (String, Vec<u8>)| Some((name, serde_json::from_slice(&bytes).ok()?));
     Some(List {
-        last: number(store, "list")?,
-        engines: below(store, "engines/").filter_map(engine).collect(),
+        last: number(state, "list")?,
+        engines: below(state, "engines/").filter_map(engine).collect(),
     })
 }
 
 /// Up to which event the members have kept the list.
 #[must_use]
-pub fn list_last(store: &Store) -> Option<u64> {
-    number(store, "list")
+pub fn list_last(state: &impl Entries) -> Option<u64> {
+    number(state, "list")
 }
 
 /// The next change that makes the kept list this one, if it is newer; a long one takes several. The number goes in
 /// with the last, so that what is kept in between is followed from the number before.
 #[must_use]
-pub fn keep_list(store: &Store, now: &List) -> Option<Txn> {
-    let kept = number(store, "list");
+pub fn keep_list(state: &impl Entries, now: &List) -> Option<Txn> {
+    let kept = number(state, "list");
     if kept.is_some_and(|last| last >= now.last) {
         return None;
     }
-    let held: BTreeMap<String, Vec<u8>> = below(store, "engines/").collect();
+    let held: BTreeMap<String, Vec<u8>> = below(state, "engines/").collect();
     let wanted: BTreeMap<_, _> =
         now.engines.iter().filter_map(|(k, v)| Some((k.clone(), serde_json::to_vec(v).ok()?))).collect();
     let gone = held.keys().filter(|k| !wanted.contains_key(*k)).map(|k| Op::Delete(format!("engines/{k}")));
@@ -292,7 +290,7 @@
     if then.len() < MAX_OPS {
         then.push(put("list".to_owned(), now.last.to_string()));
     }
-    let changed = store.get("list").map_or(0, |(revision, _)| revision);
+    let changed = state.entry("list").map_or(0, |(revision, _)| revision);
     Some(Txn { checks: vec![Check::Changed("list".to_owned(), changed)], then, ..Txn::default() })
 }
 
@@ -300,7 +298,7 @@
 #[allow(clippy::unwrap_used)]
 mod tests {
     use super::*;
-    use violetgate_state::{Command, Outcome, Step};
+    use violetgate_state::{Command, Outcome, Step, Store};
 
     fn apply(store: &mut Store, txn: Txn) -> bool {
         let command = Command { request: None, who: "t".to_owned(), time: 0, step: Step::Txn(txn) };
@@ -311,10 +309,10 @@
     #[test]
     fn moves_lead_from_one_view_to_the_next() {
         let mut store = Store::default();
-        let mut view = View::read(&store, 2);
+        let mut view = View::read(&store, "2");
         let mut step = |txn| {
             assert!(apply(&mut store, txn));
-            let now = View::read(&store, 2);
+            let now = View::read(&store, "2");
             let moves = view.moves(&now);
             view = now;
             moves
@@ -327,9 +325,9 @@
         };
         let moves = [Move::Cordon("e-2".to_owned(), true), Move::Cordon("e-1".to_owned(), false)];
         assert_eq!(step(both), moves);
-        assert_eq!(step(drain(1, true, "op")), [], "another instance");
-        assert_eq!(step(drain(2, true, "op")), [Move::Drain(true)]);
-        assert_eq!(step(drain(2, false, "op")), [Move::Drain(false)]);
+        assert_eq!(step(drain("1", true, "op")), [], "another instance");
+        assert_eq!(step(drain("2", true, "op")), [Move::Drain(true)]);
+        assert_eq!(step(drain("2", false, "op")), [Move::Drain(false)]);
     }
 
     /// Settings are checked before they are proposed; of two at once one holds; an earlier version comes back as a new
@@ -350,7 +348,7 @@
         assert_eq!(roll_back(&store, 1), Err(Unfit::Unknown));
         let (version, txn) = roll_back(&store, 2).unwrap();
         assert!(apply(&mut store, txn));
-        assert_eq!(View::read(&store, 1).settings, Some((version, text(2))));
+        assert_eq!(View::read(&store, "1").settings, Some((version, text(2))));
     }
 
     /// A list of any length is kept in steps, its number last; an older one changes nothing.
@@ -387,7 +385,7 @@
             assert_eq!(apply(&mut store, txn), held, "{port} {born:?}");
         }
         assert_eq!(member(&store, 4, &record(3, Some(5))), None);
-        let view = View::read(&store, 1);
+        let view = View::read(&store, "1");
         assert_eq!(view.disks(), BTreeMap::from([(4, 5)]));
         assert_eq!(view.addresses(&BTreeMap::from([(4, at(9))])), BTreeMap::from([(4, at(9))]));
     }
--- /dev/null
+++ b/violetgate/src/daemon/api/cluster.rs
@@ -0,0 +1,166 @@
+//! Calls about members, front ends and engines.
+
+use std::net::SocketAddr;
+
+use hyper::StatusCode;
+use serde::{Deserialize, Serialize};
+use serde_json::{json, Map, Value};
+use violetgate_cluster::{Answered, Call};
+use violetgate_consensus::{Change, Rejected, Role};
+use violetgate_member::Answer;
+
+use super::super::agreed::{self, Record};
+use super::super::figures::BEHIND;
+use super::super::Unagreed;
+use super::http::{bad, problem, told, Answering, Reply};
+use super::query::Asked;
+use super::Api;
+use crate::problem::Problem;
+use crate::settings;
+
+/// A step of the membership, as an operator writes it.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+pub enum MemberStep {
+    /// A new member: its id and where it is.
+    Add {
+        /// Its id.
+        id: u64,
+        /// For other members.
+        listen: SocketAddr,
+        /// For operators.
+        api: SocketAddr,
+    },
+    /// A learner becomes a voter.
+    Promote(u64),
+    /// A member leaves for good.
+    Remove(u64),
+    /// Leadership goes to a voter.
+    Transfer(u64),
+}
+
+impl Api {
+    pub(super) fn cluster(&self) -> Reply {
+        let status = self.daemon.status();
+        let role = match status.role {
+            Role::Leader => "leader",
+            Role::Candidate => "candidate",
+            Role::Follower => "follower",
+        };
+        let view = self.daemon.state.view();
+        let given = self.daemon.given.addresses();
+        let members: Vec<_> = status
+            .members
+            .all()
+            .map(|id| {
+                let record = view.members.get(&id);
+                let matched = status.progress.iter().find(|(m, _)| *m == id).map(|(_, at)| *at);
+                json!({
+                    "id": id,
+                    "voter": status.members.voters.contains(&id),
+                    "listen": record.map(|r| r.listen).or(given.get(&id).copied()),
+                    "api": record.map(|r| r.api),
+                    "has": matched,
+                })
+            })
+            .collect();
+        told(&json!({
+            "cluster": self.daemon.given.name,
+            "id": status.id, "role": role, "term": status.term, "leader": status.leader,
+            "commit": status.commit, "applied": status.applied, "revision": status.revision,
+            "routes": status.fresh.is_ok(),
+            "state_age_ms": status.fresh.err().and_then(|s| s.age).map(|a| a / 1000),
+            "stopped": self.daemon.cluster.lost(),
+            "highest_id": status.members.highest,
+            "members": members,
+        }))
+    }
+
+    pub(super) async fn member(&self, call: &Asked) -> Answering {
+        call.query.only(&[])?;
+        let step: MemberStep =
+            serde_json::from_slice(&call.body).map_err(|e| bad(format!("the body: {e}")))?;
+        let change = match step {
+            MemberStep::Add { id, listen, api } => {
+                // Where it is comes first, so that the leader finds it.
+                let record = Record { listen, api, born: None };
+                let known = self.daemon.status().members.highest;
+                if id <= known {
+                    return Err(Unagreed::Rejected(Rejected::IdUsed).into());
+                }
+                let txn = self.daemon.cluster.store(|s| agreed::member(s, id, &record));
+                if let Some(txn) = txn {
+                    self.daemon.agree(None, &call.who, txn, call.within).await?;
+                }
+                Call::Change(Change::Add(id))
+            }
+            MemberStep::Promote(id) => Call::Change(Change::Promote(id)),
+            MemberStep::Remove(id) => Call::Change(Change::Remove(id)),
+            MemberStep::Transfer(id) => Call::Transfer(id),
+        };
+        match self.daemon.cluster.agree(change, call.within).await {
+            Answered::Yes(Answer::Changed) => {}
+            Answered::Yes(Answer::Rejected(why)) => return Err(Unagreed::Rejected(why).into()),
+            _ => return Err(Unagreed::Late.into()),
+        }
+        let _ = self.daemon.cluster.current(call.within).await;
+        Ok(self.cluster())
+    }
+
+    pub(super) async fn cordon(&self, call: &Asked, out: bool) -> Answering {
+        call.query.only(&["engine"])?;
+        let engine = call.query.needed("engine")?;
+        let known = self.daemon.state.parts().is_some_and(|p| p.ids.known(&engine));
+        let called = self.daemon.state.view().cordons.contains(&engine);
+        if !known && !called {
+            return Err(problem(StatusCode::NOT_FOUND, "no-such-engine", format!("no engine {engine:?}")));
+        }
+        Self::held(self.agree(call, agreed::cordon(&engine, out, &call.who)).await?)
+    }
+
+    /// Drains a member by its id, or a front end that subscribes by its name.
+    pub(super) async fn drain(&self, call: &Asked, on: bool) -> Answering {
+        call.query.only(&["member", "front_end"])?;
+        let member = call.query.number("member")?;
+        let instance = match (member, call.query.text("front_end")) {
+            (Some(_), Some(_)) => return Err(bad("`member` or `front_end` has to be given, not both")),
+            (None, Some(name)) => settings::front_end_name(name).map_err(bad)?.to_owned(),
+            (member, None) => self.known_member(member.unwrap_or(self.daemon.id))?.to_string(),
+        };
+        Self::held(self.agree(call, agreed::drain(&instance, on, &call.who)).await?)
+    }
+
+    fn known_member(&self, member: u64) -> Result<u64, Problem> {
+        if self.daemon.status().members.contains(member) {
+            Ok(member)
+        } else {
+            Err(Unagreed::Rejected(Rejected::Unknown).into())
+        }
+    }
+
+    /// How far all front ends that subscribe are, as observers reported it of late.
+    pub(super) fn fleet_progress(&self, call: &Asked) -> Answering {
+        call.query.only(&[])?;
+        let totals = self.daemon.fleet_progress();
+        let behind: Map<String, Value> = BEHIND
+            .iter()
+            .zip(totals.behind)
+            .map(|(under, count)| ((*under).to_owned(), count.into()))
+            .collect();
+        let laggards: Vec<_> = totals
+            .laggards
+            .iter()
+            .map(|(name, applied)| json!({"front_end": name, "applied": applied}))
+            .collect();
+        Ok(told(&json!({
+            "revision": totals.revision,
+            "in_force": totals.in_force,
+            "serving": totals.serving,
+            "not_serving": totals.not_serving,
+            "behind_under_s": behind,
+            "laggards": laggards,
+            "observers": totals.observers,
+            "silent_observers": totals.silent_observers,
+        })))
+    }
+}
--- a/violetgate/src/daemon/mod.rs
+++ b/violetgate/src/daemon/mod.rs
@@ -3,31 +3,36 @@
 //! What a change means is [`agreed`]'s, which does no I/O; who agrees is the cluster's. It must never let anything be
 //! sent on state that it can't confirm: it is the program's [`Fence`].
 
+mod adoption;
 pub mod agreed;
 mod api;
+mod figures;
+mod participant;
+mod subscribed;
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::Cell;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use violetgate_cluster::{Answered, Call, Cluster, Options, Status};
+use violetgate_cluster::{
+    Answered, Call, Cluster, FleetTotals, ObserverConfig, ObserverService, Options, Status,
+};
 use violetgate_consensus::{Config, NodeId, Rejected, Role};
 use violetgate_member::{Answer, Manner};
 use violetgate_state::{Outcome, Refused, Revision, Step, Store, Txn};
 
-use crate::bus::{Ids, Place};
-use crate::clock::Clock;
-use crate::dispatch::Dispatch;
-use crate::door::Door;
 use crate::fence::Fence;
 use crate::log;
-use crate::rest::Rest;
-use crate::settings::{self, Agreed, Settings};
-use agreed::{List, Move, Record, View};
+use crate::settings::{self, Settings};
+use adoption::Adoption;
+use agreed::{List, Record, View};
+use figures::MemberFigures;
 
+pub use adoption::Parts;
 pub use api::{listen, MemberStep};
+pub use participant::Participant;
 
 /// How often the fence is looked at: what waits is told to go elsewhere within this time.
 const LOOK: Duration = Duration::from_millis(20);
@@ -36,22 +41,6 @@
 /// How long one call to keep something may take.
 const WITHIN: Duration = Duration::from_secs(5);
 
-/// What agreed state reaches.
-pub struct Parts {
-    /// The one clock.
-    pub clock: Clock,
-    /// The decisions.
-    pub dispatch: Rc<Dispatch>,
-    /// Whether clients are let in.
-    pub door: Rc<Door>,
-    /// Engines' numbers by name.
-    pub ids: Rc<Ids>,
-    /// Where the bus is.
-    pub place: Rc<Place>,
-    /// The REST front, if there is one.
-    pub rest: Option<Rc<Rest>>,
-}
-
 /// Why a call was not agreed on.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Unagreed {
@@ -61,18 +50,18 @@
     Refused(Refused),
     /// The step of the membership can't be taken.
     Rejected(Rejected),
+    /// This instance subscribes: only a member can have something agreed on.
+    NotAMember,
 }
 
 /// This instance as a member.
 pub struct Daemon {
     cluster: Rc<Cluster>,
     id: NodeId,
-    parts: OnceCell<Parts>,
-    /// This instance's own settings, under the agreed ones.
-    own: RefCell<Settings>,
+    state: Adoption,
     given: settings::Cluster,
-    seen: Cell<Option<Revision>>,
-    view: RefCell<View>,
+    /// The service to subscribers, if this member is an observer.
+    observer: Option<Rc<ObserverService>>,
     shut: Cell<bool>,
 }
 
@@ -134,22 +123,25 @@
                 format!("`cluster`: {e}")
             }
         })?;
+        let observer = given.subscribers_listen().map(|listen| {
+            let defaults = ObserverConfig::default_for(&given.name, given.id);
+            let config = ObserverConfig { capacity: given.subscribers, ..defaults };
+            ObserverService::start(&cluster, listen, config)
+                .map_err(|e| format!("`cluster.subscribers_listen`: {e}"))
+        });
         Ok(Rc::new(Daemon {
             cluster,
             id: given.id,
-            parts: OnceCell::new(),
-            own: RefCell::new(own.clone()),
+            state: Adoption::new(given.id.to_string(), own),
             given: given.clone(),
-            seen: Cell::new(None),
-            view: RefCell::default(),
+            observer: observer.transpose()?,
             shut: Cell::new(true),
         }))
     }
 
     /// Names what agreed state reaches, does what is agreed on so far, and goes on doing so.
     pub fn attach(self: &Rc<Self>, executor: &Rc<LocalExecutor<'static>>, parts: Parts) {
-        parts.door.fence(true);
-        let _ = self.parts.set(parts);
+        self.state.attach(parts);
         let me = Rc::downgrade(self);
         // In the very turn in which it is applied: the gate may count it from then on.
         self.cluster.on_applied(Rc::new(move |store| {
@@ -161,38 +153,13 @@
 
     /// Does what is agreed on and was not done yet.
     fn adopt(&self, store: &Store) {
-        let revision = store.revision();
-        if self.seen.replace(Some(revision)) == Some(revision) {
-            return;
-        }
-        let now = View::read(store, self.id);
-        let before = self.view.replace(now.clone());
-        let Some(parts) = self.parts.get() else { return };
-        for step in before.moves(&now) {
-            match step {
-                Move::Cordon(name, out) => {
-                    log::line(format_args!("engine {name} is called {}", if out { "out" } else { "back" }));
-                    parts.dispatch.cordon(parts.ids.number(&name), out);
-                }
-                Move::Drain(true) => parts.door.quiesce(parts.clock.now()),
-                Move::Drain(false) => parts.door.resume(),
-                Move::Settings(settings) => {
-                    let version = settings.map_or(0, |s| s.0);
-                    log::line(format_args!("cluster settings version={version} hold"));
-                    self.take_settings(parts);
-                }
-                Move::Members => self.take_members(&now),
-            }
-        }
-        if !parts.place.heard() {
-            if let Some(List { last, engines }) = agreed::list(store) {
-                parts.place.offer((last, engines));
-            }
+        if self.state.adopt(store) {
+            self.take_members(&self.state.view());
         }
     }
 
     fn take_members(&self, view: &View) {
-        let own = self.own.borrow().cluster.as_ref().map(settings::Cluster::addresses);
+        let own = self.state.own().cluster.as_ref().map(settings::Cluster::addresses);
         let own = own.unwrap_or_else(|| self.given.addresses());
         self.cluster.transport().peers(&view.addresses(&own));
         self.cluster.transport().disks(view.disks());
@@ -201,35 +168,23 @@
     /// The settings that hold here: the agreed ones over this instance's own.
     #[must_use]
     pub fn settings(&self) -> Settings {
-        let own = self.own.borrow();
-        let agreed = self.view.borrow().settings.clone();
-        match agreed.map(|(version, text)| (version, Agreed::parse(&text))) {
-            Some((_, Ok(agreed))) => agreed.over(&own),
-            Some((version, Err(problems))) => {
-                // Another member, of another version of the program, has let it pass.
-                let first = problems.first().map(ToString::to_string).unwrap_or_default();
-                log::line(format_args!("cluster settings version={version} can't be used here: {first}"));
-                own.clone()
-            }
-            None => own.clone(),
-        }
-    }
-
-    fn take_settings(&self, parts: &Parts) {
-        if let (Some(rest), Some(settings)) = (&parts.rest, &self.settings().rest) {
-            rest.limit(settings);
-        }
+        self.state.settings()
     }
 
     /// This instance's own settings were read anew.
     pub fn own(&self, own: &Settings) {
-        *self.own.borrow_mut() = own.clone();
-        if let Some(parts) = self.parts.get() {
-            self.take_settings(parts);
-            self.take_members(&self.view.borrow());
+        self.state.set_own(own);
+        if self.state.parts().is_some() {
+            self.take_members(&self.state.view());
         }
     }
 
+    /// How far all front ends that subscribe are, as observers reported it of late.
+    #[must_use]
+    pub fn fleet_progress(&self) -> FleetTotals {
+        self.cluster.fleet_progress()
+    }
+
     /// What the member is at.
     #[must_use]
     pub fn status(&self) -> Status {
@@ -273,36 +228,26 @@
     ///
     /// As [`Daemon::agree`].
     pub async fn drain(&self, on: bool, who: &str, within: Duration) -> Result<(), Unagreed> {
-        self.agree(None, who, agreed::drain(self.id, on, who), within).await.map(|_| ())
+        self.agree(None, who, agreed::drain(&self.id.to_string(), on, who), within).await.map(|_| ())
     }
 
     /// The figures, in the text format of Prometheus.
     #[must_use]
     pub fn figures(&self) -> String {
-        use std::fmt::Write as _;
-        let status = self.status();
-        let mut out = String::new();
-        let turned_away = self.parts.get().map_or(0, |p| p.dispatch.turned_away());
-        for (name, kind, help, value) in [
-            ("leads", "gauge", "This member leads.", u64::from(status.role == Role::Leader)),
-            ("term", "gauge", "The term.", status.term),
-            ("commit", "gauge", "The last entry that is agreed on, as known here.", status.commit),
-            ("applied", "gauge", "The last entry that is applied here.", status.applied),
-            ("revision", "gauge", "The state's revision.", status.revision),
-            ("voters", "gauge", "Members that vote.", status.members.voters.len() as u64),
-            ("routes", "gauge", "The state is confirmed: requests may be sent.", u64::from(self.is_open())),
-            ("turned_away_total", "counter", "Requests and attempts not sent on old state.", turned_away),
-            ("dropped_total", "counter", "Messages to members dropped.", self.cluster.transport().dropped()),
-        ] {
-            let name = format!("svc_cluster_{name}");
-            let _ = writeln!(out, "# HELP {name} {help}\n# TYPE {name} {kind}\n{name} {value}");
-        }
-        out
+        let figures = MemberFigures {
+            status: self.status(),
+            routes: self.is_open(),
+            turned_away: self.state.turned_away(),
+            dropped: self.cluster.transport().dropped(),
+            subscribers: self.observer.as_ref().map(|observer| observer.subscribers()),
+            fleet: self.fleet_progress(),
+        };
+        figures.text()
     }
 
     /// Notices that the fence was shut or opened.
     fn look(&self) {
-        let Some(parts) = self.parts.get() else { return };
+        let Some(parts) = self.state.parts() else { return };
         let shut = !self.is_open();
         if shut {
             parts.dispatch.shut();
@@ -359,7 +304,7 @@
                 }
             }
             let leads = daemon.status().role == Role::Leader;
-            let list = daemon.parts.get().filter(|_| leads).and_then(|parts| {
+            let list = daemon.state.parts().filter(|_| leads).and_then(|parts| {
                 // Looked at before it is copied: it seldom changes.
                 let last = parts.place.last()?;
                 let newer = daemon.cluster.store(agreed::list_last).is_none_or(|kept| kept < last);
--- a/violetgate/src/operations.rs
+++ b/violetgate/src/operations.rs
@@ -11,10 +11,9 @@
 use crate::admin::{self, Called, Calling};
 use crate::bus::{Ids, Place};
 use crate::clock::Clock;
-use crate::daemon::{Daemon, Unagreed};
+use crate::daemon::{Participant, Unagreed};
 use crate::dispatch::Dispatch;
 use crate::door::Door;
-use crate::fence::Fence;
 use crate::fleet::Fleet;
 use crate::log;
 use crate::rest::Rest;
@@ -49,7 +48,7 @@
     /// Engines called out, kept.
     pub store: Store,
     /// The cluster that agrees on all this, if there is one.
-    pub daemon: Option<Rc<Daemon>>,
+    pub daemon: Option<Participant>,
     /// The fleet that this front end is one of, if it is told of one.
     pub fleet: Option<Rc<Fleet>>,
 }
@@ -163,5 +162,9 @@
 }
 
 fn agreed(done: Result<(), Unagreed>) -> Called {
-    done.map_or(Called::Unagreed, |()| Called::Done)
+    match done {
+        Ok(()) => Called::Done,
+        Err(Unagreed::NotAMember) => Called::NotAMember,
+        Err(_) => Called::Unagreed,
+    }
 }
--- a/violetgate/src/serve.rs
+++ b/violetgate/src/serve.rs
@@ -22,18 +22,17 @@
 use crate::client::session::Sessions;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::daemon::{self, Daemon};
+use crate::daemon::{self, Participant};
 use crate::dispatch::Dispatch;
 use crate::door::Door;
 use crate::engine::pool::Pool;
 use crate::exchange::{Engines, Intake, Listed, Reports};
-use crate::fence::Fence;
 use crate::fleet::Fleet;
 use crate::keyed::Keyed;
 use crate::operations::{Operations, Parts};
 use crate::presence::Presence;
 use crate::rest::{self, Rest};
-use crate::settings::{self, Settings};
+use crate::settings::{self, ClusterRole, Settings};
 use crate::stats::Stats;
 use crate::store::Store;
 use crate::{log, net};
@@ -141,16 +140,13 @@
 
 /// SIGHUP: reads the configuration and the settings anew. Of what they hold, the place of the bus can change in a
 /// running program, and the settings that say so; where either can't be used, nothing changes.
-fn reload(place: &Place, settings: Option<&Path>, rest: Option<&Rest>, daemon: Option<&Daemon>) {
+fn reload(place: &Place, settings: Option<&Path>, rest: Option<&Rest>, daemon: Option<&Participant>) {
     let read = || Ok::<_, String>((Config::from_env()?, settings::read(settings)?));
     match read() {
         Ok((config, settings)) => {
             log::line(format_args!("violetgate read its configuration again: bus {}", config.bus));
             place.move_to(config.bus);
-            let settings = daemon.map_or(settings.clone(), |daemon| {
-                daemon.own(&settings);
-                daemon.settings()
-            });
+            let settings = daemon.map_or(settings.clone(), |daemon| daemon.own(&settings));
             match (rest, &settings.rest) {
                 (Some(rest), Some(settings)) => rest.limit(settings),
                 (None, None) => {}
@@ -179,7 +175,8 @@
     }
     let rest_listener = wanted.map(|r| bind("rest.listen", r.listen)).transpose()?.map(Rc::new);
     let given = settings.cluster.as_ref();
-    let api_listener = given.map(|c| bind("cluster.api", c.api)).transpose()?;
+    let member = given.filter(|c| c.role == ClusterRole::Member);
+    let api_listener = member.map(|c| bind("cluster.api", c.api)).transpose()?;
     let presence = enter(&config.listen);
     let longest = config.settings.classes.iter().filter_map(|c| c.deadline).max();
     let longest = Duration::from_micros(longest.unwrap_or(0));
@@ -192,8 +189,8 @@
     let share = Share::of(config.sockets, part, wanted);
     let stats = Rc::new(Stats::new(config.names.classes.iter().map(|c| c.0.as_str())));
     let counts = Rc::clone(&stats);
-    let daemon = given.map(|c| Daemon::start(&executor, settings, c, config.seed)).transpose()?;
-    let fence = daemon.clone().map(|d| d as Rc<dyn Fence>);
+    let daemon = given.map(|c| Participant::start(&executor, settings, c, config.seed)).transpose()?;
+    let fence = daemon.as_ref().map(Participant::fence);
     let pool = Pool::new(Rc::clone(&executor), clock, config.link, counts, fence.clone(), share.engines);
     let engines: Rc<dyn Engines> = Rc::<Pool>::clone(&pool);
     let gateways = config.settings.gateways.unwrap_or(1);
@@ -208,7 +205,7 @@
     let fleet = fleet.transpose()?.map(Rc::new);
 
     let ids = Rc::new(Ids::default());
-    let place = Rc::new(Place::new(config.bus, daemon.is_some()));
+    let place = Rc::new(Place::new(config.bus, daemon.as_ref().is_some_and(Participant::keeps_list)));
     let mut bus = Bus::new(config.names.clone(), Rc::clone(&ids), Rc::clone(&place));
     let news = Rc::clone(&dispatch);
     let mut tell = move |scope: ListScope, listed: &[Listed]| news.news(scope, listed);
@@ -268,7 +265,7 @@
     if let Some(rest) = rest.clone() {
         executor.spawn(async move { rest.sweep().await }).detach();
     }
-    if let (Some(daemon), Some(listener)) = (&daemon, api_listener) {
+    if let Some(daemon) = &daemon {
         let parts = daemon::Parts {
             clock,
             dispatch: Rc::clone(&dispatch),
@@ -278,7 +275,9 @@
             rest: rest.clone(),
         };
         daemon.attach(&executor, parts);
-        executor.spawn(daemon::listen(Rc::clone(daemon), Rc::clone(&executor), listener)).detach();
+    }
+    if let (Some(Participant::Member(member)), Some(listener)) = (&daemon, api_listener) {
+        executor.spawn(daemon::listen(Rc::clone(member), Rc::clone(&executor), listener)).detach();
     }
     let store = Store::new(shared_file(&config.listen, "cordons"));
     let parts = Parts {
@@ -309,16 +308,13 @@
     }
 
     if let Some(c) = given {
-        log::line(format_args!(
-            "violetgate {} is member {} of cluster {} at {}, its api at {}",
-            config.name, c.id, c.name, c.listen, c.api
-        ));
+        log::line(format_args!("violetgate {} {}", config.name, c.part()));
     }
 
     async_io::block_on(executor.run(async {
         let name = loop {
             match signals.next().await {
-                Some(Ok(Signal::Hup)) => reload(&place, file.as_deref(), rest.as_deref(), daemon.as_deref()),
+                Some(Ok(Signal::Hup)) => reload(&place, file.as_deref(), rest.as_deref(), daemon.as_ref()),
                 Some(Ok(Signal::Int)) => break "SIGINT",
                 _ => break "SIGTERM",
             }
@@ -331,7 +327,7 @@
             .spawn(async move {
                 while let Some(signal) = signals.next().await {
                     if matches!(signal, Ok(Signal::Hup)) {
-                        reload(&place, file.as_deref(), reloaded.as_deref(), member.as_deref());
+                        reload(&place, file.as_deref(), reloaded.as_deref(), member.as_ref());
                     }
                 }
             })
--- a/violetgate/src/settings/mod.rs
+++ b/violetgate/src/settings/mod.rs
@@ -16,7 +16,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-pub use types::{Cluster, Fleet, Log, Rest, Size, Span};
+pub use types::{front_end_name, Cluster, ClusterRole, Fleet, Log, Rest, Size, Span};
 
 use schema::{Block, Key, Kind, BLOCKS};
 
@@ -28,7 +28,7 @@
     pub log: Log,
     /// The REST front, if there is one.
     pub rest: Option<Rest>,
-    /// The cluster that this instance is a member of, if it is of one.
+    /// The cluster that this instance takes part in, if it does in one.
     pub cluster: Option<Cluster>,
     /// The fleet that this front end is one of, if it is told of one.
     pub fleet: Option<Fleet>,
@@ -181,6 +181,8 @@
     }
 
     fn block(&mut self, block: &Block, body: &Body, line: usize) {
+        let role = block.role(body.get_attribute("role").and_then(|a| a.value.as_str()));
+        let takes = |key: &str| role.is_none_or(|role| role.takes(key));
         let mut seen: Vec<&str> = Vec::new();
         for structure in body {
             let ident = match structure {
@@ -198,6 +200,11 @@
             }
             seen.push(name);
             self.lines.insert(place.clone(), line);
+            if let Some(role) = role.filter(|role| !role.takes(name)) {
+                let text = format!("is no key of a {}: take it out, or correct `role`", role.name);
+                self.wrong(line, place, text);
+                continue;
+            }
             // Members' addresses are each instance's own, though they are taken while it runs.
             if self.agreed && (!key.reloads || matches!(key.kind, Kind::Members)) {
                 self.wrong(line, place, "can't be agreed on: it stands in each instance's own file");
@@ -211,7 +218,8 @@
                 self.wrong(line, place, text);
             }
         }
-        let missing = |k: &&Key| k.default.is_none() && !seen.contains(&k.name) && !self.agreed;
+        let missing =
+            |k: &&Key| k.default.is_none() && takes(k.name) && !seen.contains(&k.name) && !self.agreed;
         let missing: Vec<_> = block.keys.iter().filter(missing).collect();
         for key in missing {
             self.wrong(line, format!("{}.{}", block.name, key.name), "is missing in this block");
@@ -255,6 +263,17 @@
     }
 }
 
+/// By whom a key without a default must be given.
+fn must_be_given(block: &Block, key: &Key) -> String {
+    let roles: Vec<_> =
+        block.roles.iter().filter(|role| role.takes(key.name)).map(|role| role.name).collect();
+    if roles.len() == block.roles.len() {
+        "must be given".to_owned()
+    } else {
+        format!("must be given by a {}", roles.join(" or "))
+    }
+}
+
 /// The reference of all settings, as Markdown.
 #[must_use]
 pub fn reference() -> String {
@@ -263,7 +282,7 @@
         out += &format!("## `{}`\n\n{}\n\n", block.name, block.about);
         out += "| key | value | default | taken at | meaning |\n| --- | --- | --- | --- | --- |\n";
         for key in block.keys {
-            let default = key.default.map_or("must be given".to_owned(), |d| format!("`{d}`"));
+            let default = key.default.map_or_else(|| must_be_given(block, key), |d| format!("`{d}`"));
             let taken = if key.reloads { "SIGHUP" } else { "start" };
             out +=
                 &format!("| `{}` | {} | {default} | {taken} | {} |\n", key.name, key.kind.about(), key.about);
--- a/violetgate/src/settings/schema.rs
+++ b/violetgate/src/settings/schema.rs
@@ -5,8 +5,10 @@
 
 use std::time::Duration;
 
+mod cluster;
 mod fleet;
 
+use cluster::CLUSTER;
 use fleet::FLEET;
 
 /// What a key's value may be.
@@ -56,6 +58,33 @@
     pub about: &'static str,
     /// Its keys.
     pub keys: &'static [Key],
+    /// What an instance may be by this block's key `role`, the default first; none: there is no such key.
+    pub roles: &'static [Role],
+}
+
+/// What an instance may be by a block.
+#[derive(Debug)]
+pub struct Role {
+    /// Its name, the value of the key `role`.
+    pub name: &'static str,
+    /// Keys that it takes none of.
+    pub without: &'static [&'static str],
+}
+
+impl Block {
+    /// The role by that name; without one, the default.
+    #[must_use]
+    pub fn role(&self, name: Option<&str>) -> Option<&'static Role> {
+        name.and_then(|name| self.roles.iter().find(|role| role.name == name)).or(self.roles.first())
+    }
+}
+
+impl Role {
+    /// Whether an instance of this role takes a key.
+    #[must_use]
+    pub fn takes(&self, key: &str) -> bool {
+        !self.without.contains(&key)
+    }
 }
 
 /// All blocks.
@@ -82,6 +111,7 @@
             about: "Lines that may wait to be written; more are dropped, and counted in the last line.",
         },
     ],
+    roles: &[],
 };
 
 const REST: Block = Block {
@@ -169,94 +199,7 @@
             about: "Idempotency keys taken at a time, over both fronts.",
         },
     ],
-};
-
-const CLUSTER: Block = Block {
-    name: "cluster",
-    about: "This instance as a member of a cluster (docs/daemon-operations.md). Without this block it shares nothing. \
-            Its folder is made once, by `violetgate members init`.",
-    keys: &[
-        Key {
-            name: "name",
-            kind: Kind::Name(64),
-            default: None,
-            reloads: false,
-            about: "The cluster's name. Members of another one are turned away.",
-        },
-        Key {
-            name: "id",
-            kind: Kind::Count(1, 65_535),
-            default: None,
-            reloads: false,
-            about: "This member's id. Ids are never used twice: one that lost its disk joins under the next.",
-        },
-        Key {
-            name: "folder",
-            kind: Kind::Folder,
-            default: None,
-            reloads: false,
-            about: "Where this member keeps its log and its snapshots, on a disk that outlasts it.",
-        },
-        Key {
-            name: "listen",
-            kind: Kind::Address,
-            default: None,
-            reloads: false,
-            about: "Where other members connect. They are not asked who they are beyond cluster, id and disk.",
-        },
-        Key {
-            name: "api",
-            kind: Kind::Address,
-            default: None,
-            reloads: false,
-            about: "Where operators read and change what is agreed on, with `violetgate ctl` or curl. It asks nobody \
-                    who they are.",
-        },
-        Key {
-            name: "members",
-            kind: Kind::Members,
-            default: None,
-            reloads: true,
-            about: "Where the members are, as this one reaches them. Those that join later are known from the cluster \
-                    itself.",
-        },
-        Key {
-            name: "drain_limit",
-            kind: Kind::Span(300, 2_000),
-            default: Some("\"2s\""),
-            reloads: false,
-            about: "Nothing is sent on state that was last confirmed longer ago. It is at most the time in which drains \
-                    are honoured, and has to be one everywhere.",
-        },
-        Key {
-            name: "confirm_every",
-            kind: Kind::Span(20, 1_000),
-            default: Some("\"250ms\""),
-            reloads: false,
-            about: "How often the state is confirmed; at most a third of `drain_limit`.",
-        },
-        Key {
-            name: "election_timeout",
-            kind: Kind::Span(50, 10_000),
-            default: Some("\"500ms\""),
-            reloads: false,
-            about: "Without a sign of the leader for this long, up to twice as long, a member asks for votes.",
-        },
-        Key {
-            name: "heartbeat",
-            kind: Kind::Span(10, 1_000),
-            default: Some("\"100ms\""),
-            reloads: false,
-            about: "How often a leader gives a sign; at most a third of `election_timeout`.",
-        },
-        Key {
-            name: "snapshot_every",
-            kind: Kind::Count(10, 10_000_000),
-            default: Some("10000"),
-            reloads: false,
-            about: "Entries of the log between two snapshots.",
-        },
-    ],
+    roles: &[],
 };
 
 /// Reads a span: a number and `ms`, `s`, `m` or `h`.
--- a/violetgate/src/settings/schema/fleet.rs
+++ b/violetgate/src/settings/schema/fleet.rs
@@ -78,4 +78,5 @@
             about: "From then on it reckons with one fewer each time this has passed; with more at once.",
         },
     ],
+    roles: &[],
 };
--- a/violetgate/src/settings/tests.rs
+++ b/violetgate/src/settings/tests.rs
@@ -48,13 +48,13 @@
     assert_eq!(wrong.iter().map(|p| p.line).collect::<Vec<_>>(), [2, 3]);
 }
 
-/// The tables, the types and their defaults are one.
-#[test]
-fn tables_and_types_agree() {
+/// A file with every key that is taken, where the block of a cluster has this role.
+fn whole_file(cluster_role: &str) -> String {
     let mut file = String::new();
     for block in BLOCKS {
         file += &format!("{} {{\n", block.name);
-        for key in block.keys {
+        let role = block.role(Some(cluster_role));
+        for key in block.keys.iter().filter(|key| role.is_none_or(|role| role.takes(key.name))) {
             let default = key.default.unwrap_or(match key.kind {
                 Kind::Address => "\"127.0.0.1:1\"",
                 Kind::Count(..) => "1",
@@ -62,29 +62,102 @@
                 Kind::Addresses(_) => "[\"127.0.0.1:1\"]",
                 _ => "\"x\"",
             });
-            // Two listeners of one instance can't be at one place.
-            let default = if key.name == "api" { "\"127.0.0.1:2\"" } else { default };
+            let default = match key.name {
+                "role" => &format!("\"{cluster_role}\""),
+                // Two listeners of one instance can't be at one place.
+                "api" => "\"127.0.0.1:2\"",
+                _ => default,
+            };
             file += &format!("  {} = {default}\n", key.name);
         }
         file += "}\n";
     }
-    let given = serde_json::to_value(parse(&file).unwrap()).unwrap();
-    for (name, block) in given.as_object().unwrap() {
-        let table = BLOCKS.iter().find(|b| b.name == name).unwrap();
-        let keys: Vec<_> = block.as_object().unwrap().keys().map(String::as_str).collect();
-        let mut known: Vec<_> = table.keys.iter().map(|k| k.name).collect();
-        known.sort_unstable();
-        assert_eq!(keys, known, "{name}");
+    file
+}
+
+/// The tables, the types and their defaults are one, whatever an instance is in its cluster.
+#[test]
+fn tables_and_types_agree() {
+    for (name, role) in [("member", ClusterRole::Member), ("subscriber", ClusterRole::Subscriber)] {
+        let file = whole_file(name);
+        let given = serde_json::to_value(parse(&file).unwrap()).unwrap();
+        for (name, block) in given.as_object().unwrap() {
+            let table = BLOCKS.iter().find(|b| b.name == name).unwrap();
+            let keys: Vec<_> = block.as_object().unwrap().keys().map(String::as_str).collect();
+            let mut known: Vec<_> = table.keys.iter().map(|k| k.name).collect();
+            known.sort_unstable();
+            assert_eq!(keys, known, "{name}");
+        }
+        let api = if role == ClusterRole::Member { 2 } else { 1 };
+        let all = Settings {
+            rest: Some(Rest::default()),
+            cluster: Some(Cluster { role, api: ([127, 0, 0, 1], api).into(), ..Cluster::default() }),
+            fleet: Some(Fleet::default()),
+            ..Settings::default()
+        };
+        let none = serde_json::to_value(all).unwrap();
+        for (name, block) in none.as_object().unwrap().iter().filter(|(_, b)| !b.is_null()) {
+            assert_eq!(given.get(name), Some(block), "{name}");
+        }
     }
-    let all = Settings {
-        rest: Some(Rest::default()),
-        cluster: Some(Cluster { api: ([127, 0, 0, 1], 2).into(), ..Cluster::default() }),
-        fleet: Some(Fleet::default()),
-        ..Settings::default()
+}
+
+/// Keys of the other role are errors with their lines, and so are those that are missing in this one.
+#[test]
+fn a_role_takes_its_own_keys() {
+    let told = |text: &str| parse(text).unwrap_err().iter().map(ToString::to_string).collect::<Vec<_>>();
+    let subscriber = |extra: &str| {
+        format!(
+            "cluster {{\n role = \"subscriber\"\n name = \"w\"\n front_end = \"fe-17\"\n \
+             observers = {{ \"6\" = \"127.0.0.1:7206\" }}\n{extra}\n}}\n"
+        )
     };
-    let none = serde_json::to_value(all).unwrap();
-    for (name, block) in none.as_object().unwrap().iter().filter(|(_, b)| !b.is_null()) {
-        assert_eq!(given.get(name), Some(block), "{name}");
+    let given = parse(&subscriber("drain_limit = \"1s\"")).unwrap().cluster.unwrap();
+    assert_eq!((given.role, given.observer_addresses().len()), (ClusterRole::Subscriber, 1));
+    for (extra, expected) in [
+        ("id = 2", "6: cluster.id: is no key of a subscriber: take it out, or correct `role`"),
+        ("folder = \"f\"", "6: cluster.folder: is no key of a subscriber: take it out, or correct `role`"),
+        (
+            "subscribers_listen = \"127.0.0.1:1\"",
+            "6: cluster.subscribers_listen: is no key of a subscriber: take it out, or correct `role`",
+        ),
+        ("drain_limit = \"500ms\"", "1: cluster.confirm_every: has to be a third of `drain_limit` at most"),
+    ] {
+        assert_eq!(told(&subscriber(extra)), [expected]);
+    }
+    assert_eq!(
+        told(&subscriber("").replace("fe-17", "17")),
+        ["4: cluster.front_end: has to hold more than digits: numbers are members' ids"]
+    );
+    assert_eq!(
+        told(&subscriber("").replace("subscriber", "observer")).first().unwrap(),
+        "1: cluster.api: is missing in this block"
+    );
+    let text = "cluster {\n role = \"subscriber\"\n name = \"w\"\n}\n";
+    assert_eq!(
+        told(text),
+        ["1: cluster.front_end: is missing in this block", "1: cluster.observers: is missing in this block"]
+    );
+    let member = |extra: &str| {
+        format!(
+            "cluster {{\n name = \"w\"\n id = 2\n folder = \"f\"\n listen = \"127.0.0.1:1\"\n \
+             api = \"127.0.0.1:2\"\n members = {{ \"2\" = \"127.0.0.1:1\" }}\n{extra}\n}}\n"
+        )
+    };
+    let observer = parse(&member("subscribers_listen = \"127.0.0.1:3\"\nsubscribers = 5")).unwrap();
+    assert_eq!(observer.cluster.unwrap().subscribers_listen().unwrap().port(), 3);
+    for (extra, expected) in [
+        (
+            "subscribers_listen = \"127.0.0.1:2\"",
+            "8: cluster.subscribers_listen: is where members or operators connect",
+        ),
+        ("subscribers = 0", "8: cluster.subscribers: has to be a whole number from 1 to 20000"),
+        (
+            "front_end = \"fe-17\"",
+            "8: cluster.front_end: is no key of a member: take it out, or correct `role`",
+        ),
+    ] {
+        assert_eq!(told(&member(extra)), [expected]);
     }
 }
 
--- a/violetgate/src/settings/types.rs
+++ b/violetgate/src/settings/types.rs
@@ -96,11 +96,23 @@
     }
 }
 
-/// A member of a cluster; `docs/configuration.md` explains its keys.
+/// What an instance is in its cluster.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ClusterRole {
+    /// It agrees on the state with the other members.
+    #[default]
+    Member,
+    /// It follows, through observers, what members agree on.
+    Subscriber,
+}
+
+/// An instance's part in a cluster; `docs/configuration.md` explains its keys.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 #[allow(missing_docs)]
 pub struct Cluster {
+    pub role: ClusterRole,
     pub name: String,
     pub id: u64,
     pub folder: std::path::PathBuf,
@@ -112,12 +124,17 @@
     pub election_timeout: Span,
     pub heartbeat: Span,
     pub snapshot_every: u64,
+    pub subscribers_listen: SocketAddr,
+    pub subscribers: u32,
+    pub front_end: String,
+    pub observers: BTreeMap<String, SocketAddr>,
 }
 
 impl Default for Cluster {
     fn default() -> Self {
         let nowhere: SocketAddr = ([127, 0, 0, 1], 1).into();
         Cluster {
+            role: ClusterRole::Member,
             name: "x".to_owned(),
             id: 1,
             folder: "x".into(),
@@ -129,6 +146,10 @@
             election_timeout: Span(Duration::from_millis(500)),
             heartbeat: Span(Duration::from_millis(100)),
             snapshot_every: 10_000,
+            subscribers_listen: ([0, 0, 0, 0], 0).into(),
+            subscribers: 4_000,
+            front_end: "x".to_owned(),
+            observers: BTreeMap::from([("1".to_owned(), nowhere)]),
         }
     }
 }
@@ -137,27 +158,92 @@
     /// The members by number; the tables let nothing else pass.
     #[must_use]
     pub fn addresses(&self) -> BTreeMap<u64, SocketAddr> {
-        self.members.iter().filter_map(|(id, addr)| Some((id.parse().ok()?, *addr))).collect()
+        by_number(&self.members)
+    }
+
+    /// The observers by number.
+    #[must_use]
+    pub fn observer_addresses(&self) -> BTreeMap<u64, SocketAddr> {
+        by_number(&self.observers)
+    }
+
+    /// Where front ends that subscribe connect, if this member is an observer.
+    #[must_use]
+    pub fn subscribers_listen(&self) -> Option<SocketAddr> {
+        Some(self.subscribers_listen).filter(|at| at.port() != 0)
+    }
+
+    /// What this instance is in its cluster, as the log says it at the start.
+    #[must_use]
+    pub fn part(&self) -> String {
+        let Cluster { name, id, listen, api, front_end, .. } = self;
+        match (self.role, self.subscribers_listen()) {
+            (ClusterRole::Member, None) => {
+                format!("is member {id} of cluster {name} at {listen}, its api at {api}")
+            }
+            (ClusterRole::Member, Some(at)) => format!(
+                "is member {id} of cluster {name} at {listen}, its api at {api}, and serves subscribers at {at}"
+            ),
+            (ClusterRole::Subscriber, _) => {
+                let observers: Vec<_> = self.observers.keys().map(String::as_str).collect();
+                format!("subscribes to cluster {name} as {front_end}, by observers {}", observers.join(", "))
+            }
+        }
     }
 
     /// What is wrong with keys that are right one by one.
     pub(super) fn check(&self) -> Result<(), (&'static str, &'static str)> {
-        if !self.addresses().contains_key(&self.id) {
-            return Err(("members", "has to name this member, too"));
-        }
         if self.confirm_every.0 * 3 > self.drain_limit.0 {
             return Err(("confirm_every", "has to be a third of `drain_limit` at most"));
         }
+        match self.role {
+            ClusterRole::Member => self.check_member(),
+            ClusterRole::Subscriber => {
+                front_end_name(&self.front_end).map(|_| ()).map_err(|what| ("front_end", what))
+            }
+        }
+    }
+
+    fn check_member(&self) -> Result<(), (&'static str, &'static str)> {
+        if !self.addresses().contains_key(&self.id) {
+            return Err(("members", "has to name this member, too"));
+        }
         if self.heartbeat.0 * 3 > self.election_timeout.0 {
             return Err(("heartbeat", "has to be a third of `election_timeout` at most"));
         }
         if self.listen == self.api {
             return Err(("api", "is where members connect"));
         }
+        if [self.listen, self.api].contains(&self.subscribers_listen) {
+            return Err(("subscribers_listen", "is where members or operators connect"));
+        }
         Ok(())
     }
 }
 
+fn by_number(members: &BTreeMap<String, SocketAddr>) -> BTreeMap<u64, SocketAddr> {
+    members.iter().filter_map(|(id, addr)| Some((id.parse().ok()?, *addr))).collect()
+}
+
+/// The longest name of a front end.
+const LONGEST_NAME: usize = 64;
+
+/// A front end's name, if it may be one.
+///
+/// # Errors
+///
+/// It may not; the text says why.
+pub fn front_end_name(name: &str) -> Result<&str, &'static str> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"._-".contains(&b);
+    if name.is_empty() || name.len() > LONGEST_NAME || !name.bytes().all(plain) {
+        Err("has to be a name: 64 letters, digits, `.`, `-` or `_` at most")
+    } else if name.bytes().all(|b| b.is_ascii_digit()) {
+        Err("has to hold more than digits: numbers are members' ids")
+    } else {
+        Ok(name)
+    }
+}
+
 /// A front end of a fleet; `docs/configuration.md` explains its keys.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
