--- a/violetgate/tests/support/mod.rs
+++ b/violetgate/tests/support/mod.rs
@@ -74,7 +74,7 @@
         Self::begin(engines, rest, window, |_| String::new())
     }
 
-    /// The same with further blocks, for which a member's folder is made if one of them is `cluster`.
+    /// The same with further blocks, for which a member's folder is made if one of them names it.
     pub fn begin(engines: usize, rest: &str, window: f64, more: impl Fn(&Path) -> String) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let (listen, at) = (reserved(), reserved());
@@ -88,7 +88,7 @@
         std::fs::write(folder.join("config.json"), config.to_string()).unwrap();
         let more = more(&folder);
         std::fs::write(folder.join("violetgate.hcl"), hcl(&at, rest) + &more).unwrap();
-        if !more.is_empty() {
+        if more.contains("folder = ") {
             let made = violetgate(&[
                 "members",
                 "init",
