--- a/cluster/node/src/connection.rs
+++ b/cluster/node/src/connection.rs
@@ -94,9 +94,18 @@
     input: &mut Input,
     longest: usize,
 ) -> Result<T, &'static str> {
+    sized_frame(stream, input, longest).await.map(|(value, _)| value)
+}
+
+/// Reads until a frame is whole; its size, too.
+pub(crate) async fn sized_frame<T: DeserializeOwned>(
+    stream: &Async<TcpStream>,
+    input: &mut Input,
+    longest: usize,
+) -> Result<(T, usize), &'static str> {
     loop {
-        if let Some((value, _)) = input.take(longest)? {
-            return Ok(value);
+        if let Some(read) = input.take(longest)? {
+            return Ok(read);
         }
         input.read(stream).await?;
     }
--- a/cluster/node/src/lib.rs
+++ b/cluster/node/src/lib.rs
@@ -22,6 +22,6 @@
 pub use subscription::{OnReplica, Subscription, SubscriptionStatus};
 pub use traffic::Traffic;
 pub use violetgate_distribution::{
-    FleetTotals, ObserverConfig, ProgressSummary, Refusal, Replica, SubscriberConfig,
+    FleetTotals, InForce, ObserverConfig, ProgressSummary, Refusal, Replica, SubscriberConfig,
 };
 pub use wire::{Call, Frame};
--- a/cluster/node/src/observer_service.rs
+++ b/cluster/node/src/observer_service.rs
@@ -249,7 +249,10 @@
         if welcome.refused.is_some() {
             return (welcome, None);
         }
-        let Some(task) = self.ungreeted.borrow_mut().remove(&id) else { return (welcome, None) };
+        let Some(task) = self.ungreeted.borrow_mut().remove(&id) else {
+            self.with(|core, now, _| core.disconnect(now, id));
+            return (welcome, None);
+        };
         let outbox = Outbox::new(self.queue_limit, PATIENCE);
         self.greeted.borrow_mut().insert(id, Greeted { outbox: Rc::clone(&outbox), task });
         (welcome, Some(outbox))
--- a/cluster/node/src/runtime.rs
+++ b/cluster/node/src/runtime.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod disk_worker;
+mod fleet;
 mod status;
 
 use std::cell::{Cell, RefCell};
@@ -18,9 +19,8 @@
 use async_io::Async;
 use violetgate_consensus::{Index, Members, Meta, NodeId, Rejected};
 use violetgate_disk::{Disk, Folder, Identity};
-use violetgate_distribution::{FleetProgress, FleetTotals, ProgressSummary};
 use violetgate_member::{Answer, Effect, Found, Manner, Member, Ticket};
-use violetgate_state::{Micros, Stale, Store};
+use violetgate_state::{Stale, Store};
 
 use crate::clock::{boot, wall, Alarm};
 use crate::transport::Transport;
@@ -34,9 +34,6 @@
 /// Calls of other members that are carried out at a time; more are turned away, and come again.
 const MOST_ASKED: usize = 1_000;
 
-/// A report of an observer counts for so long.
-const PROGRESS_FRESH: Micros = 1_000_000;
-
 /// What a member is told at its start.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -78,7 +75,7 @@
     /// Called in the very turn in which more is applied, before anything else can be decided on it.
     applied: RefCell<Vec<OnApplied>>,
     /// How far front ends are, as observers report it.
-    fleet: RefCell<FleetProgress>,
+    fleet: RefCell<fleet::Reports>,
     told: Cell<Index>,
     /// Calls that other members carry out for this one, and how many this one carries out for others.
     asked: RefCell<BTreeMap<u64, Rc<Slot>>>,
@@ -301,27 +298,6 @@
         self.applied.borrow_mut().push(f);
     }
 
-    /// How far all front ends are, as observers have reported it of late.
-    #[must_use]
-    pub fn fleet_progress(&self) -> FleetTotals {
-        self.fleet.borrow().totals(boot(), PROGRESS_FRESH)
-    }
-
-    /// Reports how far this member's subscribers are to all members, this one among them.
-    pub(crate) fn report_progress(&self, summary: ProgressSummary) {
-        let Status { id, members, .. } = self.status();
-        let frame = Frame::Progress(summary.clone());
-        members.all().filter(|to| *to != id).for_each(|to| self.transport.send(to, &frame));
-        self.progress_came(id, summary);
-    }
-
-    fn progress_came(&self, from: NodeId, summary: ProgressSummary) {
-        // One that is no member any more is no observer either.
-        if self.member.borrow().members().contains(from) {
-            self.fleet.borrow_mut().report(boot(), from, summary);
-        }
-    }
-
     /// The whole state as bytes, to be saved.
     #[must_use]
     pub fn save(&self) -> Vec<u8> {
--- a/cluster/node/src/subscription.rs
+++ b/cluster/node/src/subscription.rs
@@ -57,6 +57,8 @@
     alarm: Rc<Alarm>,
     links: RefCell<BTreeMap<NodeId, Link>>,
     next_link: Cell<u64>,
+    /// Why the last connection to each observer ended.
+    last_ends: RefCell<BTreeMap<NodeId, &'static str>>,
     on_applied: RefCell<Vec<OnReplica>>,
     told: Cell<Revision>,
     counter: Counter,
@@ -80,6 +82,7 @@
             alarm: Rc::default(),
             links: RefCell::default(),
             next_link: Cell::new(1),
+            last_ends: RefCell::default(),
             on_applied: RefCell::default(),
             told: Cell::new(0),
             counter: Counter::default(),
@@ -192,6 +195,11 @@
         self.links.borrow().get(&observer).is_some_and(|link| link.number == number)
     }
 
+    /// Whether the connection to an observer ends for another reason than the one before.
+    fn ends_anew(&self, observer: NodeId, reason: &'static str) -> bool {
+        self.last_ends.borrow_mut().insert(observer, reason) != Some(reason)
+    }
+
     /// A connection has ended, or could not be made; its task ends with this call.
     fn ended(&self, observer: NodeId, number: u64, refusal: Option<&Refusal>) {
         if !self.holds(observer, number) {
--- a/cluster/node/src/subscription/link.rs
+++ b/cluster/node/src/subscription/link.rs
@@ -37,24 +37,39 @@
 
 /// Connects, greets, and carries messages until the connection ends.
 pub(super) async fn keep(place: Place, hello: SubscriberHello, outbox: Rc<Outbox>) {
-    let end = match converse(&place, &hello, &outbox).await {
+    let mut greeted = false;
+    let end = match converse(&place, &hello, &outbox, &mut greeted).await {
         Ok(never) => match never {},
         Err(end) => end,
     };
     let Place { of, observer, number, address } = place;
-    let refusal = match end {
-        End::Refused(refusal) => {
-            let code = refusal.code();
-            tracing::info!("observer {observer} at {address} refused reason={code}: {refusal}");
-            Some(refusal)
+    let Some(subscription) = of.upgrade() else { return };
+    // Attempts that fail alike one after another are logged once.
+    if subscription.ends_anew(observer, end.code()) || greeted {
+        match &end {
+            End::Refused(refusal) => {
+                let code = refusal.code();
+                tracing::info!("observer {observer} at {address} refused reason={code}: {refusal}");
+            }
+            End::Broken(reason) => tracing::info!("observer {observer} at {address} ended reason={reason}"),
+        }
+    }
+    subscription.ended(observer, number, end.refusal());
+}
+
+impl End {
+    fn code(&self) -> &'static str {
+        match self {
+            End::Refused(refusal) => refusal.code(),
+            End::Broken(reason) => reason,
         }
-        End::Broken(reason) => {
-            tracing::info!("observer {observer} at {address} ended reason={reason}");
-            None
+    }
+
+    fn refusal(&self) -> Option<&Refusal> {
+        match self {
+            End::Refused(refusal) => Some(refusal),
+            End::Broken(_) => None,
         }
-    };
-    if let Some(subscription) = of.upgrade() {
-        subscription.ended(observer, number, refusal.as_ref());
     }
 }
 
@@ -62,6 +77,7 @@
     place: &Place,
     hello: &SubscriberHello,
     outbox: &Outbox,
+    greeted: &mut bool,
 ) -> Result<std::convert::Infallible, End> {
     let connecting = async { Async::<TcpStream>::connect(place.address).await.map_err(|_| "connect_error") };
     let stream = connecting.or(late("connect_timeout", CONNECT)).await?;
@@ -71,6 +87,7 @@
     if let Some(refusal) = welcome.refused {
         return Err(End::Refused(refusal));
     }
+    *greeted = true;
     place.subscription()?.with(|core, now| core.connected(now, place.observer, &welcome));
     let reading = async { Err(read(place, &stream, &mut input).await) };
     let writing = async { Err(End::Broken(outbox.write_to(&stream, |_| ()).await)) };
--- a/cluster/node/src/transport.rs
+++ b/cluster/node/src/transport.rs
@@ -15,7 +15,8 @@
 use futures_lite::{future, FutureExt};
 use violetgate_consensus::NodeId;
 
-use crate::connection::{frame, late, write, Input, CONNECT, GREET};
+use crate::connection::{frame, late, sized_frame, write, Input, CONNECT, GREET};
+use crate::traffic::{Counter, Traffic};
 use crate::wire::{self, Frame, Hello, Welcome};
 
 /// Bytes that wait for one member.
@@ -58,6 +59,7 @@
     ended: Rc<RefCell<Vec<u64>>>,
     next: Cell<u64>,
     dropped: Cell<u64>,
+    counter: Counter,
     /// Members that this one does not hear and does not reach, for tests of cuts.
     cut: RefCell<Vec<NodeId>>,
 }
@@ -85,6 +87,7 @@
             ended: Rc::default(),
             next: Cell::new(0),
             dropped: Cell::new(0),
+            counter: Counter::default(),
             cut: RefCell::default(),
         })
     }
@@ -116,6 +119,12 @@
         self.dropped.get()
     }
 
+    /// Messages and bytes exchanged with members, greetings aside.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        self.counter.traffic()
+    }
+
     /// Hears and reaches these no more, until told otherwise: a cut, for tests and drills.
     pub fn cut(&self, ids: &[NodeId]) {
         *self.cut.borrow_mut() = ids.to_vec();
@@ -135,6 +144,7 @@
             return;
         }
         queue.bytes.set(queue.bytes.get() + frame.len());
+        self.counter.sent(frame.len());
         queue.frames.borrow_mut().push_back(frame);
         queue.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
     }
@@ -195,8 +205,8 @@
         return format!("refused: {why}");
     }
     loop {
-        let message = match frame::<Frame>(stream, &mut input, wire::LONGEST).await {
-            Ok(message) => message,
+        let (message, size) = match sized_frame::<Frame>(stream, &mut input, wire::LONGEST).await {
+            Ok(read) => read,
             Err(reason) => return reason.to_owned(),
         };
         let Some(transport) = of.upgrade() else { return "stopped".to_owned() };
@@ -204,6 +214,7 @@
         if transport.disks.borrow().get(&hello.from).is_some_and(|born| *born != hello.born) {
             return format!("refused: member {} had another disk", hello.from);
         }
+        transport.counter.received(size);
         if !transport.cut.borrow().contains(&hello.from) {
             (transport.incoming)(hello.from, message);
         }
--- a/cluster/node/src/wire.rs
+++ b/cluster/node/src/wire.rs
@@ -163,6 +163,23 @@
         }
     }
 
+    /// Frames keep their numbers, so that members of another age read those that they know.
+    #[test]
+    fn frames_keep_their_numbers() {
+        let progress = ProgressSummary { revision: 7, serving: 2, ..ProgressSummary::default() };
+        let frames = [
+            Frame::Core(Message::Append { term: 1, prev: (0, 0), entries: Vec::new(), commit: 0, round: 0 }),
+            Frame::Ask(1, Call::Transfer(2)),
+            Frame::Told(1, Answer::Changed),
+            Frame::Progress(progress),
+        ];
+        for (number, message) in frames.iter().enumerate() {
+            let bytes = frame(message).unwrap();
+            assert_eq!(usize::from(bytes[HEAD]), number);
+            assert_eq!(&take::<Frame>(&bytes, LONGEST).unwrap().unwrap().0, message);
+        }
+    }
+
     /// Who is turned away, and why.
     #[test]
     fn strangers_are_turned_away() {
