--- a/violetgate/src/daemon/api/cluster.rs
+++ b/violetgate/src/daemon/api/cluster.rs
@@ -10,7 +10,7 @@
 use violetgate_member::Answer;
 
 use super::super::agreed::{self, Record};
-use super::super::figures::BEHIND;
+use super::super::figures::{until_in_force, BEHIND};
 use super::super::Unagreed;
 use super::http::{bad, problem, told, Answering, Reply};
 use super::query::Asked;
@@ -152,9 +152,12 @@
             .iter()
             .map(|(name, applied)| json!({"front_end": name, "applied": applied}))
             .collect();
+        let last = self.daemon.last_in_force();
+        let last = last.map(|r| json!({"revision": r.revision, "after_ms": until_in_force(&r)}));
         Ok(told(&json!({
             "revision": totals.revision,
             "in_force": totals.in_force,
+            "last_in_force": last,
             "serving": totals.serving,
             "not_serving": totals.not_serving,
             "behind_under_s": behind,
--- a/violetgate/src/daemon/figures.rs
+++ b/violetgate/src/daemon/figures.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use violetgate_cluster::{FleetTotals, Status, SubscriptionStatus};
+use violetgate_cluster::{FleetTotals, InForce, Status, SubscriptionStatus};
 use violetgate_consensus::Role;
 
 /// Spans of time under which serving front ends are behind, as the labels of `svc_cluster_behind`.
@@ -43,6 +43,12 @@
     /// Subscribers here; `None`: it takes none.
     pub subscribers: Option<usize>,
     pub fleet: FleetTotals,
+    pub last_in_force: Option<InForce>,
+}
+
+/// Milliseconds from the moment at which a revision was known to an observer until it was in force everywhere.
+pub(super) fn until_in_force(record: &InForce) -> u64 {
+    record.in_force_at.saturating_sub(record.known_at) / 1_000
 }
 
 impl MemberFigures {
@@ -66,6 +72,13 @@
         out.gauge("serving", "Front ends that serve.", fleet.serving.into());
         out.gauge("not_serving", "Front ends whose gates are shut.", fleet.not_serving.into());
         out.gauge("in_force", "The revision in force at all front ends that serve.", fleet.in_force);
+        if let Some(record) = &self.last_in_force {
+            out.gauge(
+                "in_force_after_ms",
+                "The time until the last one was in force.",
+                until_in_force(record),
+            );
+        }
         let behind = BEHIND.iter().zip(fleet.behind);
         let behind = behind.map(|(under, count)| ("under_s", (*under).to_owned(), u64::from(count)));
         out.labelled("behind", "Serving front ends that lack a revision, by how long.", behind);
--- a/violetgate/src/daemon/mod.rs
+++ b/violetgate/src/daemon/mod.rs
@@ -17,7 +17,7 @@
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use violetgate_cluster::{
-    Answered, Call, Cluster, FleetTotals, ObserverConfig, ObserverService, Options, Status,
+    Answered, Call, Cluster, FleetTotals, InForce, ObserverConfig, ObserverService, Options, Status,
 };
 use violetgate_consensus::{Config, NodeId, Rejected, Role};
 use violetgate_member::{Answer, Manner};
@@ -185,6 +185,12 @@
         self.cluster.fleet_progress()
     }
 
+    /// The latest revision that was in force at all front ends that serve, and when it was.
+    #[must_use]
+    pub fn last_in_force(&self) -> Option<InForce> {
+        self.cluster.last_in_force()
+    }
+
     /// What the member is at.
     #[must_use]
     pub fn status(&self) -> Status {
@@ -241,6 +247,7 @@
             dropped: self.cluster.transport().dropped(),
             subscribers: self.observer.as_ref().map(|observer| observer.subscribers()),
             fleet: self.fleet_progress(),
+            last_in_force: self.last_in_force(),
         };
         figures.text()
     }
--- a/violetgate/tests/subscriber.rs
+++ b/violetgate/tests/subscriber.rs
@@ -105,6 +105,7 @@
         let told = cluster.progress();
         told["in_force"].as_u64() >= Some(revision) && told["serving"] == 1 && told["observers"] == 1
     });
+    assert!(cluster.progress()["last_in_force"]["revision"].as_u64() >= Some(revision));
     assert!(front.figure("svc_cluster_revision") >= revision as f64);
     front.fleet.called("e-1", true);
     (0..20).for_each(|_| assert_eq!(front.ask(&lookup(), None).status, 200));
@@ -117,7 +118,10 @@
     for (query, kind) in [("front_end=17", "invalid-request"), ("front_end=a&member=1", "invalid-request")] {
         assert_eq!(cluster.call("PUT", &format!("/v1/drains?{query}"), "").kind(), kind);
     }
-    cluster.change("PUT", "/v1/drains?front_end=fe-1");
+    let ctl = |args: &[&str]| violetgate(&[&["ctl", "--at", &cluster.api][..], args].concat());
+    let (well, told) = ctl(&["progress"]);
+    assert!(well && told.contains("\"serving\":1"), "{told}");
+    assert!(ctl(&["quiesce", "fe-1"]).0);
     until("new requests are turned back", || front.ask(&lookup(), None).status == 503);
     cluster.change("DELETE", "/v1/drains?front_end=fe-1");
     until("they are taken again", || front.ask(&lookup(), None).status == 200);
@@ -132,8 +136,10 @@
     assert_eq!(front.figure("svc_cluster_routes "), 0.0);
     assert_eq!(front.fleet.counts().attempts(), attempts);
     until("members know that it does not serve", || cluster.progress()["observers"] == 0);
-    let log = std::fs::read_to_string(front.folder.join("log")).unwrap();
-    assert!(log.contains("cluster reason=stale sends nothing: age_ms="), "{log}");
+    until("its log says why", || {
+        let log = std::fs::read_to_string(front.folder.join("log")).unwrap();
+        log.contains("cluster reason=stale sends nothing: age_ms=")
+    });
     // It comes back, and so does the front end, with what was agreed on meanwhile.
     let revision = cluster.change("DELETE", "/v1/cordons?engine=e-1");
     cluster.observer.start_again();
