--- a/tools/scale/src/decisions.rs
+++ b/tools/scale/src/decisions.rs
@@ -1,1 +1,139 @@
-//! Placeholder that a later commit of this change replaces.
+//! The decision module by the number of engines: processor time of a statement, of a patch of the engine list and of a
+//! whole list, and memory an engine.
+
+use linnetreach::interface::EngineState;
+
+use crate::error::ScaleError;
+use crate::figures::{Figures, Options};
+use crate::gateway_driver::{settings, Driver, GAP};
+use crate::slope::{Budget, Slope};
+use crate::usage::{least, timed, Usage};
+
+const ROLE: &str = "decisions";
+const SIZES: [u32; 6] = [80, 300, 1_000, 4_000, 7_600, 12_000];
+const SHORT_SIZES: [u32; 5] = [80, 300, 600, 1_000, 2_000];
+const GATEWAYS: [u32; 2] = [300, 7_600];
+/// Engines that have to be carried.
+const TARGET: f64 = 12_000.0;
+/// A statement may cost half a millisecond: at 1,842 a second that is nearly all of a core.
+const STATEMENT_BUDGET_US: f64 = 500.0;
+/// Statements that are out at a time, where the front end's part of the engines allows as many.
+const MOST_OUT: f64 = 20.0;
+/// The module bears this many threads a core in all; cores of one engine.
+const THREADS_PER_CORE: f64 = 2.0;
+const CORES: f64 = 8.0;
+/// The part of its room that a front end uses.
+const ROOM_USED: f64 = 0.7;
+/// Batches of statements that are timed, of which the least counts as other processes only add, and how many engine visits a batch is worth.
+const BATCHES: usize = 5;
+const VISITS_PER_BATCH: u32 = 400_000;
+const PATCHES: u32 = 10;
+/// Front ends that are built at once to see what an engine takes in memory.
+const HELD: usize = 8;
+
+/// Costs at one size.
+struct Costs {
+    statement_us: f64,
+    patch_us: f64,
+    whole_list_us: f64,
+    statements: u64,
+    sent: u64,
+    refused: u64,
+}
+
+/// Measures the decision module at several sizes.
+///
+/// # Errors
+///
+/// The module refuses the settings, or /proc can't be read.
+pub fn measure(options: &Options, figures: &mut Figures) -> Result<(), ScaleError> {
+    if !options.short {
+        figures.add_number("decisions_memory_an_engine_bytes", memory_an_engine(options.seed)?);
+    }
+    let sizes = if options.short { &SHORT_SIZES[..] } else { &SIZES[..] };
+    for gateways in GATEWAYS {
+        let [mut statement, mut patch, mut whole] = slopes(gateways);
+        let (mut statements, mut unserved) = (0, 0);
+        for &engines in sizes {
+            let costs = costs(options.seed, gateways, engines)?;
+            statement.push(f64::from(engines), costs.statement_us);
+            patch.push(f64::from(engines), costs.patch_us);
+            whole.push(f64::from(engines), costs.whole_list_us);
+            statements += costs.statements;
+            unserved += costs.statements.saturating_sub(costs.sent) + costs.refused;
+        }
+        figures.add(&format!("decisions_{gateways}_gateways_statements"), statements);
+        figures.at_most(&format!("decisions_{gateways}_gateways_unserved"), unserved as f64, 0.0);
+        if !options.short {
+            [statement, patch, whole].iter().for_each(|slope| slope.record(figures));
+        }
+    }
+    Ok(())
+}
+
+fn slopes(gateways: u32) -> [Slope; 3] {
+    let budget = Budget { cost: STATEMENT_BUDGET_US, target: TARGET };
+    let names = match gateways {
+        300 => ["statement_300_gateways", "patch_300_gateways", "whole_list_300_gateways"],
+        _ => ["statement_7600_gateways", "patch_7600_gateways", "whole_list_7600_gateways"],
+    };
+    let slope =
+        |name, budget| Slope { role: ROLE, name, unit: "us", size_of: "engines", budget, points: Vec::new() };
+    let [statement, patch, whole] = names;
+    [slope(statement, Some(budget)), slope(patch, None), slope(whole, None)]
+}
+
+/// How many statements a front end has out within its part of the engines.
+fn most_out(gateways: u32, engines: u32) -> usize {
+    let room = THREADS_PER_CORE * CORES * f64::from(engines) / f64::from(gateways);
+    (ROOM_USED * room).clamp(1.0, MOST_OUT) as usize
+}
+
+fn costs(seed: u64, gateways: u32, engines: u32) -> Result<Costs, ScaleError> {
+    let mut driver = Driver::new(settings(gateways)?, seed, engines, most_out(gateways, engines));
+    let batch = (VISITS_PER_BATCH / engines).clamp(50, 2_000);
+    (0..batch).for_each(|_| driver.statement());
+    let mut statements_us = Vec::new();
+    for _ in 0..BATCHES {
+        let (took, ()) = timed(|| (0..batch).for_each(|_| driver.statement()));
+        statements_us.push(took / f64::from(batch));
+    }
+    let patches_us = (0..PATCHES).map(|step| {
+        let state = if step % 2 == 0 { EngineState::Draining } else { EngineState::Ready };
+        driver.statement();
+        timed(|| driver.patch(engines / 2, state)).0
+    });
+    let patch_us = least(&patches_us.collect::<Vec<_>>());
+    let whole_lists_us = (0..BATCHES).map(|_| {
+        driver.statement();
+        timed(|| driver.whole_list(engines)).0
+    });
+    let whole_list_us = least(&whole_lists_us.collect::<Vec<_>>());
+    let statements = u64::from(batch) * (BATCHES as u64 + 1) + u64::from(PATCHES) + BATCHES as u64;
+    Ok(Costs {
+        statement_us: least(&statements_us),
+        patch_us,
+        whole_list_us,
+        statements,
+        sent: driver.sent().len() as u64,
+        refused: driver.refused(),
+    })
+}
+
+/// The growth of this process's resident memory with several front ends that know all engines.
+fn memory_an_engine(seed: u64) -> Result<f64, ScaleError> {
+    let engines = TARGET as u32;
+    let before = Usage::own()?.resident_bytes;
+    let mut held = Vec::new();
+    for number in 0..HELD {
+        held.push(Driver::new(settings(7_600)?, seed + number as u64, engines, 1));
+    }
+    let after = Usage::own()?.resident_bytes;
+    Ok(after.saturating_sub(before) as f64 / (held.len() as f64 * TARGET))
+}
+
+/// The share of a core that statements at full rate take, from the cost of one.
+#[must_use]
+pub fn core_share(statement_us: f64) -> f64 {
+    statement_us / GAP as f64
+}
--- a/tools/scale/src/figures.rs
+++ b/tools/scale/src/figures.rs
@@ -12,11 +12,33 @@
     pub seed: u64,
 }
 
+/// Where a role ends.
+#[derive(Debug, Clone)]
+pub struct Break {
+    /// The role and the cost that passes its budget.
+    pub name: String,
+    /// The size at which it does; `None`: at none.
+    pub size: Option<f64>,
+    /// What the size counts.
+    pub size_of: &'static str,
+    /// The size that has to be carried.
+    pub target: f64,
+}
+
+impl Break {
+    /// The size as a share of what has to be carried; infinite where nothing breaks.
+    #[must_use]
+    pub fn share(&self) -> f64 {
+        self.size.map_or(f64::INFINITY, |size| size / self.target)
+    }
+}
+
 /// Figures by name, in the order of their names, and what missed its bound.
 #[derive(Debug, Default)]
 pub struct Figures {
     values: BTreeMap<String, String>,
     missed: Vec<String>,
+    breaks: Vec<Break>,
 }
 
 impl Figures {
@@ -45,6 +67,19 @@
         self.missed.push(what.into());
     }
 
+    /// Notes where a role ends.
+    pub fn add_break(&mut self, role_ends: Break) {
+        self.breaks.push(role_ends);
+    }
+
+    /// Where roles end, the one that ends first before the others.
+    #[must_use]
+    pub fn breaks(&self) -> Vec<&Break> {
+        let mut breaks: Vec<_> = self.breaks.iter().collect();
+        breaks.sort_by(|a, b| a.share().total_cmp(&b.share()));
+        breaks
+    }
+
     /// What missed its bound.
     #[must_use]
     pub fn failures(&self) -> &[String] {
--- a/tools/scale/src/lib.rs
+++ b/tools/scale/src/lib.rs
@@ -8,9 +8,14 @@
 pub mod decisions;
 pub mod engine_list;
 pub mod engine_side;
+pub mod error;
 pub mod figures;
 pub mod fit;
+pub mod gateway_driver;
 pub mod hollow;
 pub mod membership;
+pub mod slope;
+pub mod usage;
 
+pub use error::ScaleError;
 pub use figures::{Figures, Options};
--- /dev/null
+++ b/tools/scale/src/slope.rs
@@ -0,0 +1,102 @@
+//! A role's cost by size: the measurements, their fit, and the size at which the budget is passed.
+
+use std::fmt;
+
+use crate::figures::{Break, Figures};
+use crate::fit::{fit, Fit, Point};
+
+/// What a cost is held against.
+#[derive(Debug, Clone, Copy)]
+pub struct Budget {
+    /// The most that it may cost.
+    pub cost: f64,
+    /// The size that has to be carried.
+    pub target: f64,
+}
+
+/// One cost of one role by size.
+#[derive(Debug)]
+pub struct Slope {
+    /// The role, as `--only` names it.
+    pub role: &'static str,
+    /// The cost's name; figures begin with the role and this.
+    pub name: &'static str,
+    /// The cost's unit, as figures end in it.
+    pub unit: &'static str,
+    /// What sizes count.
+    pub size_of: &'static str,
+    /// The budget, if the cost has one.
+    pub budget: Option<Budget>,
+    /// What was measured.
+    pub points: Vec<Point>,
+}
+
+impl Slope {
+    /// Adds a measurement.
+    pub fn push(&mut self, size: f64, cost: f64) {
+        self.points.push(Point { size, cost });
+    }
+
+    /// The fit, where enough was measured.
+    #[must_use]
+    pub fn fitted(&self) -> Option<Fit> {
+        fit(&self.points)
+    }
+
+    /// The size at which the budget is passed.
+    #[must_use]
+    pub fn breaks_at(&self) -> Option<f64> {
+        self.fitted()?.size_at(self.budget?.cost)
+    }
+
+    /// Adds the measurements, the fit and the size at which the budget is passed, and prints the slope as a line.
+    pub fn record(&self, figures: &mut Figures) {
+        println!("{self}");
+        let Slope { role, name, unit, size_of, .. } = self;
+        let key = format!("{role}_{name}");
+        for point in &self.points {
+            figures.add_number(&format!("{key}_at_{}_{unit}", point.size), point.cost);
+        }
+        let Some(fit) = self.fitted() else {
+            return figures.missed(format!("{key}: {} measurements are too few to fit", self.points.len()));
+        };
+        figures.add_number(&format!("{key}_intercept_{unit}"), fit.intercept);
+        figures.add_number(&format!("{key}_intercept_error_{unit}"), fit.intercept_error);
+        figures.add_number(&format!("{key}_slope_{unit}"), fit.slope);
+        figures.add_number(&format!("{key}_slope_error_{unit}"), fit.slope_error);
+        figures.add_number(&format!("{key}_r_squared"), fit.r_squared);
+        figures.add(&format!("{key}_shape"), fit.shape.name());
+        let Some(budget) = self.budget else { return };
+        let breaks_at = fit.size_at(budget.cost);
+        let shown = breaks_at.map_or_else(|| "never".to_owned(), |size| format!("{size:.0}"));
+        figures.add(&format!("{key}_breaks_at_{size_of}"), shown);
+        figures.add_break(Break { name: key, size: breaks_at, size_of, target: budget.target });
+    }
+}
+
+impl fmt::Display for Slope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Slope { role, name, unit, size_of, .. } = self;
+        write!(f, "{role} {name}:")?;
+        let Some(fit) = self.fitted() else { return write!(f, " too few measurements") };
+        write!(
+            f,
+            " {:.4} (error {:.2}) + {:.6} (error {:.2}) x {size_of} {unit}, a {}, R2 {:.4}",
+            fit.intercept,
+            fit.intercept_error,
+            fit.slope,
+            fit.slope_error,
+            fit.shape.name(),
+            fit.r_squared
+        )?;
+        if let Some(budget) = self.budget {
+            let Budget { cost, target } = budget;
+            match fit.size_at(cost) {
+                Some(size) => write!(f, "; passes {cost} {unit} at {size:.0} {size_of} of {target}")?,
+                None => write!(f, "; never passes {cost} {unit}")?,
+            }
+        }
+        write!(f, ";")?;
+        self.points.iter().try_for_each(|point| write!(f, " {}: {:.4}", point.size, point.cost))
+    }
+}
