--- a/tools/scale/src/agreed_state.rs
+++ b/tools/scale/src/agreed_state.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::sync::atomic::Ordering::Relaxed;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -35,10 +35,12 @@
 const CORE_US_PER_S: f64 = 1_000_000.0;
 /// A change has to be in force everywhere within ten seconds.
 const CHANGE_BUDGET_MS: f64 = 10_000.0;
-const REST: Duration = Duration::from_secs(3);
-const SHORT_REST: Duration = Duration::from_millis(500);
+const REST: Duration = Duration::from_secs(2);
+const SHORT_REST: Duration = Duration::from_millis(250);
 const CHANGES: u64 = 20;
 const SHORT_CHANGES: u64 = 5;
+/// How often a window is measured until one leader has led through it.
+const MOST_WINDOWS: usize = 5;
 /// How long members may take to lead, to join and to route.
 const SETTLE: Duration = Duration::from_secs(15);
 /// How long one try to hand leadership over may take.
@@ -73,6 +75,9 @@
                 figures.add(&format!("agreed_state_changes_at_{size}"), costs.changes);
             }
         }
+        if !options.short {
+            figures.add("agreed_state_repeated_windows", group.repeated_windows);
+        }
         Ok::<_, ScaleError>(())
     }))?;
     if options.short {
@@ -93,12 +98,20 @@
     Ok(())
 }
 
+/// What is spent, and said to the leader, while nothing changes.
+struct Rest {
+    leader_us_per_s: f64,
+    others_us_per_s: f64,
+    process_us_per_s: f64,
+    questions_per_s: f64,
+    messages_per_s: f64,
+    bytes_per_s: f64,
+}
+
 /// What a group of one size costs.
 struct Costs {
-    leader_us_per_s: f64,
+    rest: Rest,
     other_us_per_s: f64,
-    questions_per_s: f64,
-    heard_bytes_per_s: f64,
     change_ms: f64,
     slowest_change_ms: f64,
     change_cpu_us: f64,
@@ -109,6 +122,7 @@
     leader: Slope,
     other: Slope,
     questions: Slope,
+    messages: Slope,
     heard: Slope,
     change: Slope,
     slowest_change: Slope,
@@ -129,7 +143,8 @@
             leader: slope("leader_at_rest", "us_per_s", Some(CORE_US_PER_S)),
             other: slope("other_at_rest", "us_per_s", None),
             questions: slope("questions", "per_s", None),
-            heard: slope("leader_heard", "bytes_per_s", None),
+            messages: slope("leader_heard_messages", "per_s", None),
+            heard: slope("leader_heard_bytes", "per_s", None),
             change: slope("change_everywhere", "ms", Some(CHANGE_BUDGET_MS)),
             slowest_change: slope("slowest_change_everywhere", "ms", None),
             change_cpu: slope("change_cpu", "us", None),
@@ -139,18 +154,19 @@
 
 impl Slopes {
     fn push(&mut self, size: f64, costs: &Costs) {
-        self.leader.push(size, costs.leader_us_per_s);
+        self.leader.push(size, costs.rest.leader_us_per_s);
         self.other.push(size, costs.other_us_per_s);
-        self.questions.push(size, costs.questions_per_s);
-        self.heard.push(size, costs.heard_bytes_per_s);
+        self.questions.push(size, costs.rest.questions_per_s);
+        self.messages.push(size, costs.rest.messages_per_s);
+        self.heard.push(size, costs.rest.bytes_per_s);
         self.change.push(size, costs.change_ms);
         self.slowest_change.push(size, costs.slowest_change_ms);
         self.change_cpu.push(size, costs.change_cpu_us);
     }
 
     fn record(&self, figures: &mut Figures) {
-        let Slopes { leader, other, questions, heard, change, slowest_change, change_cpu } = self;
-        let all = [leader, other, questions, heard, change, slowest_change, change_cpu];
+        let Slopes { leader, other, questions, messages, heard, change, slowest_change, change_cpu } = self;
+        let all = [leader, other, questions, messages, heard, change, slowest_change, change_cpu];
         all.into_iter().for_each(|slope| slope.record(figures));
     }
 }
@@ -165,6 +181,7 @@
     listens: BTreeMap<NodeId, SocketAddr>,
     relay: SocketAddr,
     next_change: u64,
+    repeated_windows: u64,
     _place: Rc<Place>,
 }
 
@@ -181,7 +198,17 @@
         let listens = BTreeMap::from([(LEADER, listen)]);
         let leader = start_member(executor, &place, &listens, LEADER, listen, &shared)?;
         let others = Others::start(&place, &shared)?;
-        Ok(Group { leader, others, shared, counts, listens, relay, next_change: 0, _place: place })
+        Ok(Group {
+            leader,
+            others,
+            shared,
+            counts,
+            listens,
+            relay,
+            next_change: 0,
+            repeated_windows: 0,
+            _place: place,
+        })
     }
 
     /// Adds members until there are so many, and waits until they route. How many do.
@@ -228,39 +255,64 @@
         Err(ScaleError::Late { what: "leadership of the first member", seconds: SETTLE.as_secs() })
     }
 
+    /// Costs at rest and of changes.
     async fn costs(&mut self, options: &Options, size: u64) -> Result<Costs, ScaleError> {
-        let (rest, changes) = if options.short { (SHORT_REST, SHORT_CHANGES) } else { (REST, CHANGES) };
-        let begun = Instant::now();
-        let (leader, others, process) = (thread_cpu(), self.shared.others_cpu(), process_cpu());
-        let (questions, bytes) = (self.counts.questions.load(Relaxed), self.counts.bytes.load(Relaxed));
-        Timer::after(rest).await;
-        let seconds = begun.elapsed().as_secs_f64();
-        let us_per_s = |used: Duration| used.as_secs_f64() * 1e6 / seconds;
-        let leader_us_per_s = us_per_s(thread_cpu() - leader);
-        let other_us_per_s = us_per_s(self.shared.others_cpu() - others) / (size - 1) as f64;
-        let process_us_per_s = us_per_s(process_cpu() - process);
-        let questions_per_s = (self.counts.questions.load(Relaxed) - questions) as f64 / seconds;
-        let heard_bytes_per_s = (self.counts.bytes.load(Relaxed) - bytes) as f64 / seconds;
-
+        let (window, changes) = if options.short { (SHORT_REST, SHORT_CHANGES) } else { (REST, CHANGES) };
+        // The quieter one of two windows: other processes only add.
+        let (first, second) = (self.rest(window).await?, self.rest(window).await?);
+        let rest = if first.leader_us_per_s < second.leader_us_per_s { first } else { second };
         let (begun, process) = (Instant::now(), process_cpu());
         let mut took_ms = Vec::new();
         for _ in 0..changes {
             took_ms.push(self.change(size).await?.as_secs_f64() * 1e3);
         }
         let used_us = (process_cpu() - process).as_secs_f64() * 1e6;
-        let at_rest_us = process_us_per_s * begun.elapsed().as_secs_f64();
+        let at_rest_us = rest.process_us_per_s * begun.elapsed().as_secs_f64();
         Ok(Costs {
-            leader_us_per_s,
-            other_us_per_s,
-            questions_per_s,
-            heard_bytes_per_s,
             slowest_change_ms: took_ms.iter().copied().fold(0.0, f64::max),
             change_ms: median(took_ms),
             change_cpu_us: (used_us - at_rest_us) / changes as f64,
+            other_us_per_s: rest.others_us_per_s / (size - 1) as f64,
+            rest,
             changes,
         })
     }
 
+    /// What is spent while nothing changes. A window in which another member came to lead is measured anew.
+    async fn rest(&mut self, window: Duration) -> Result<Rest, ScaleError> {
+        for _ in 0..MOST_WINDOWS {
+            self.lead().await?;
+            let term = self.leader.status().term;
+            let rest = self.window(window).await;
+            let status = self.leader.status();
+            if status.role == Role::Leader && status.term == term {
+                return Ok(rest);
+            }
+            self.repeated_windows += 1;
+        }
+        Err(ScaleError::Late { what: "a window with one leader", seconds: window.as_secs() })
+    }
+
+    async fn window(&self, window: Duration) -> Rest {
+        let begun = Instant::now();
+        let (leader, others, process) = (thread_cpu(), self.shared.others_cpu(), process_cpu());
+        let Counts { questions, frames, bytes } = &*self.counts;
+        let heard = [questions, frames, bytes].map(|count| count.load(Relaxed));
+        Timer::after(window).await;
+        let seconds = begun.elapsed().as_secs_f64();
+        let us_per_s = |used: Duration| used.as_secs_f64() * 1e6 / seconds;
+        let [questions_before, frames_before, bytes_before] = heard;
+        let per_s = |count: &AtomicU64, before| (count.load(Relaxed) - before) as f64 / seconds;
+        Rest {
+            leader_us_per_s: us_per_s(thread_cpu() - leader),
+            others_us_per_s: us_per_s(self.shared.others_cpu() - others),
+            process_us_per_s: us_per_s(process_cpu() - process),
+            questions_per_s: per_s(questions, questions_before),
+            messages_per_s: per_s(frames, frames_before),
+            bytes_per_s: per_s(bytes, bytes_before),
+        }
+    }
+
     /// One change, from its proposal until all have applied it.
     async fn change(&mut self, size: u64) -> Result<Duration, ScaleError> {
         self.next_change += 1;
--- a/tools/scale/src/bin/prove-scale.rs
+++ b/tools/scale/src/bin/prove-scale.rs
@@ -1,22 +1,31 @@
 //! `prove-scale`: measures what each role costs by size and holds the figures to their bounds.
 
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::{Parser, ValueEnum};
-use violetgate_scale::{agreed_state, decisions, Figures, Options, ScaleError};
+use clap::builder::PossibleValuesParser;
+use clap::Parser;
+use violetgate_scale::{agreed_state, client_side, decisions, engine_list, engine_side, page};
+use violetgate_scale::{Figures, Options, ScaleError};
 
 /// Where random numbers begin unless the command line says otherwise.
 const SEED: u64 = 7;
 
 /// What can be measured.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
-enum Role {
-    /// The decision module by engines
-    Decisions,
-    /// Agreed state by instances
-    AgreedState,
+struct Role {
+    name: &'static str,
+    measure: fn(&Options, &mut Figures) -> Result<(), ScaleError>,
 }
 
+/// All roles, in the order in which they are measured. A new one is a line here.
+const ROLES: &[Role] = &[
+    Role { name: "decisions", measure: decisions::measure },
+    Role { name: "engine-list", measure: engine_list::measure },
+    Role { name: "client-side", measure: client_side::measure },
+    Role { name: "engine-side", measure: engine_side::measure },
+    Role { name: "agreed-state", measure: agreed_state::measure },
+];
+
 /// Measures what each role costs by size, fits it, and prints the size at which each passes its budget
 #[derive(Debug, Parser)]
 struct Arguments {
@@ -24,31 +33,49 @@
     #[arg(long)]
     short: bool,
     /// Measures only this role; may be given several times
-    #[arg(long, value_name = "ROLE")]
-    only: Vec<Role>,
+    #[arg(long, value_name = "ROLE", value_parser = PossibleValuesParser::new(ROLES.iter().map(|role| role.name)))]
+    only: Vec<String>,
     /// Where random numbers begin
     #[arg(long, default_value_t = SEED)]
     seed: u64,
+    /// Measures nothing: compares this page's block of figures with the saved ones
+    #[arg(long, value_name = "FILE")]
+    page: Option<PathBuf>,
+    /// The saved last line of a run
+    #[arg(long, value_name = "FILE", default_value = "docs/scale-figures.txt", requires = "page")]
+    figures: PathBuf,
+    /// Rewrites the page's block instead
+    #[arg(long, requires = "page")]
+    write: bool,
 }
 
-/// A role's measurement.
-type Measure = fn(&Options, &mut Figures) -> Result<(), ScaleError>;
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    match &arguments.page {
+        Some(file) => compare(file, &arguments.figures, arguments.write),
+        None => measure(&arguments),
+    }
+}
 
-fn measure_of(role: Role) -> Measure {
-    match role {
-        Role::Decisions => decisions::measure,
-        Role::AgreedState => agreed_state::measure,
+fn compare(file: &Path, figures: &Path, write: bool) -> ExitCode {
+    let done = if write { page::rewrite(file, figures) } else { page::check(file, figures) };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            println!("MISSED: {error}");
+            ExitCode::FAILURE
+        }
     }
 }
 
-fn main() -> ExitCode {
-    let arguments = Arguments::parse();
+fn measure(arguments: &Arguments) -> ExitCode {
     let options = Options { short: arguments.short, seed: arguments.seed };
-    let chosen = |role: &&Role| arguments.only.is_empty() || arguments.only.contains(role);
+    let chosen =
+        |role: &&Role| arguments.only.is_empty() || arguments.only.iter().any(|name| name == role.name);
     let mut figures = Figures::default();
-    for role in Role::value_variants().iter().filter(chosen) {
-        if let Err(error) = measure_of(*role)(&options, &mut figures) {
-            figures.missed(format!("{role:?}: {error}"));
+    for role in ROLES.iter().filter(chosen) {
+        if let Err(error) = (role.measure)(&options, &mut figures) {
+            figures.missed(format!("{}: {error}", role.name));
         }
     }
     finish(&figures)
--- a/tools/scale/src/client_side.rs
+++ b/tools/scale/src/client_side.rs
@@ -1,1 +1,161 @@
-//! Placeholder that a later commit of this change replaces.
+//! Client connections of the real program: memory, descriptors and processor time of idle ones, and processor time of
+//! a statement beside them.
+
+use std::net::TcpStream;
+use std::time::Duration;
+
+use violetgate_standin::client::Pg;
+use violetgate_standin::{Fleet, Profile};
+
+use crate::error::ScaleError;
+use crate::figures::{Figures, Options};
+use crate::program::{free_address, Program};
+use crate::slope::{Budget, Slope};
+
+const ROLE: &str = "client_side";
+const SIZES: [usize; 6] = [100, 400, 800, 1_200, 1_700, 2_240];
+const SHORT_SIZES: [usize; 3] = [20, 40, 60];
+/// Connections of a front end that have to be carried: 17 million over 7,600.
+const TARGET: f64 = 2_240.0;
+const ENGINES: usize = 3;
+/// Descriptors that the program may hold; clients get half of them.
+const SOCKETS: u32 = 4_608;
+/// The memory that a front end's configuration grants it.
+const MEMORY_BUDGET_BYTES: f64 = 192.0 * 1024.0 * 1024.0;
+/// The time between two statements at 1,842 a second.
+const STATEMENT_BUDGET_US: f64 = 543.0;
+/// Connections that ask, and statements of each.
+const ACTIVE: usize = 8;
+const STATEMENTS: usize = 150;
+const SHORT_STATEMENTS: usize = 10;
+const WINDOW: Duration = Duration::from_secs(2);
+const SHORT_WINDOW: Duration = Duration::from_millis(100);
+/// How long the program may leave what was opened unsettled.
+const SETTLE: Duration = Duration::from_millis(300);
+const WAIT: Duration = Duration::from_secs(10);
+
+/// Costs at one size.
+struct Costs {
+    resident_bytes: f64,
+    descriptors: f64,
+    idle_us_per_s: f64,
+    statement_us: f64,
+    served: usize,
+}
+
+/// Measures the program with more and more idle connections.
+///
+/// # Errors
+///
+/// The program or the stand-in engines can't be started, or a connection is refused.
+pub fn measure(options: &Options, figures: &mut Figures) -> Result<(), ScaleError> {
+    let fleet =
+        Fleet::start(ENGINES, Profile::default()).map_err(ScaleError::io("start stand-in engines"))?;
+    let listen = free_address()?;
+    let mut config = fleet.config("scale", &listen, &violetgate_standin::settings());
+    config["limits"]["sockets"] = SOCKETS.into();
+    let program = Program::start(listen, &config)?;
+    let sizes = if options.short { &SHORT_SIZES[..] } else { &SIZES[..] };
+    let mut load = Load { each: if options.short { SHORT_STATEMENTS } else { STATEMENTS }, next: 1 };
+    let (mut slopes, mut unserved) = (slopes(), 0);
+    let mut idle = Vec::new();
+    // The first statements open the connections to engines, which are no cost of idle clients.
+    load.run(&program)?;
+    for &size in sizes {
+        while idle.len() < size {
+            idle.push(session(&program)?);
+        }
+        let costs = costs(&program, &mut load, options)?;
+        unserved += ACTIVE * load.each - costs.served;
+        let values = [costs.resident_bytes, costs.descriptors, costs.idle_us_per_s, costs.statement_us];
+        slopes.iter_mut().zip(values).for_each(|(slope, cost)| slope.push(size as f64, cost));
+        if options.short {
+            let beside = costs.descriptors - size as f64;
+            figures.at_most(&format!("client_side_descriptors_beside_{size}_clients"), beside, 64.0);
+        }
+    }
+    figures.at_most("client_side_unserved_statements", unserved as f64, 0.0);
+    if !options.short {
+        slopes.iter().for_each(|slope| slope.record(figures));
+    }
+    Ok(())
+}
+
+fn slopes() -> [Slope; 4] {
+    let slope = |name, unit, budget: Option<f64>| Slope {
+        role: ROLE,
+        name,
+        unit,
+        size_of: "connections",
+        budget: budget.map(|cost| Budget { cost, target: TARGET }),
+        points: Vec::new(),
+    };
+    [
+        slope("memory", "bytes", Some(MEMORY_BUDGET_BYTES)),
+        slope("descriptors", "count", Some(f64::from(SOCKETS))),
+        slope("idle", "us_per_s", None),
+        slope("statement", "us", Some(STATEMENT_BUDGET_US)),
+    ]
+}
+
+fn session(program: &Program) -> Result<Pg, ScaleError> {
+    let connect = || Pg::over(TcpStream::connect(&program.listen)?, WAIT);
+    connect().map_err(ScaleError::io("open a client's session"))
+}
+
+fn costs(program: &Program, load: &mut Load, options: &Options) -> Result<Costs, ScaleError> {
+    std::thread::sleep(SETTLE);
+    let window = if options.short { SHORT_WINDOW } else { WINDOW };
+    let before = program.usage()?;
+    std::thread::sleep(window);
+    let after = program.usage()?;
+    let idle_us = after.cpu.saturating_sub(before.cpu).as_secs_f64() * 1e6 / window.as_secs_f64();
+    let (statement_us, served) = load.run(program)?;
+    Ok(Costs {
+        resident_bytes: after.resident_bytes as f64,
+        descriptors: after.descriptors as f64,
+        idle_us_per_s: idle_us,
+        statement_us,
+        served,
+    })
+}
+
+/// Statements of a few connections, each asked once the one before is answered.
+struct Load {
+    /// Statements of one connection.
+    each: usize,
+    /// The next request's id: no id is used twice, as the program refuses an id that was just open.
+    next: usize,
+}
+
+impl Load {
+    /// Processor time a statement, and how many were served.
+    fn run(&mut self, program: &Program) -> Result<(f64, usize), ScaleError> {
+        let clients = (0..ACTIVE).map(|_| session(program)).collect::<Result<Vec<_>, _>>()?;
+        let (first, each) = (self.next, self.each);
+        self.next += ACTIVE * each;
+        let before = program.usage()?;
+        let asked = std::thread::scope(|scope| {
+            let starts = (first..).step_by(each);
+            let threads: Vec<_> = starts
+                .zip(clients)
+                .map(|(start, client)| scope.spawn(move || ask(client, start..start + each)))
+                .collect();
+            threads.into_iter().map(|thread| thread.join().ok()?.ok()).collect::<Option<Vec<_>>>()
+        });
+        let served: usize = asked.ok_or(ScaleError::Thread("client"))?.into_iter().sum();
+        let used = program.usage()?.cpu.saturating_sub(before.cpu);
+        Ok((used.as_secs_f64() * 1e6 / served.max(1) as f64, served))
+    }
+}
+
+fn ask(mut client: Pg, requests: std::ops::Range<usize>) -> std::io::Result<usize> {
+    let mut served = 0;
+    for request in requests {
+        client.send(&format!(
+            "/* method=lookup,rid={request:016x},budget=5000 */ SELECT rows=1 FROM sales_17.orders"
+        ))?;
+        served += usize::from(client.read()?.is_ok());
+    }
+    Ok(served)
+}
--- a/tools/scale/src/decisions.rs
+++ b/tools/scale/src/decisions.rs
@@ -5,7 +5,7 @@
 
 use crate::error::ScaleError;
 use crate::figures::{Figures, Options};
-use crate::gateway_driver::{settings, Driver, GAP};
+use crate::gateway_driver::{most_out, settings, Driver};
 use crate::slope::{Budget, Slope};
 use crate::usage::{least, timed, Usage};
 
@@ -17,16 +17,11 @@
 const TARGET: f64 = 12_000.0;
 /// A statement may cost half a millisecond: at 1,842 a second that is nearly all of a core.
 const STATEMENT_BUDGET_US: f64 = 500.0;
-/// Statements that are out at a time, where the front end's part of the engines allows as many.
-const MOST_OUT: f64 = 20.0;
-/// The module bears this many threads a core in all; cores of one engine.
-const THREADS_PER_CORE: f64 = 2.0;
-const CORES: f64 = 8.0;
-/// The part of its room that a front end uses.
-const ROOM_USED: f64 = 0.7;
 /// Batches of statements that are timed, of which the least counts as other processes only add, and how many engine visits a batch is worth.
 const BATCHES: usize = 5;
 const VISITS_PER_BATCH: u32 = 400_000;
+/// The same where only counts are held.
+const SHORT_VISITS_PER_BATCH: u32 = 40_000;
 const PATCHES: u32 = 10;
 /// Front ends that are built at once to see what an engine takes in memory.
 const HELD: usize = 8;
@@ -55,7 +50,7 @@
         let [mut statement, mut patch, mut whole] = slopes(gateways);
         let (mut statements, mut unserved) = (0, 0);
         for &engines in sizes {
-            let costs = costs(options.seed, gateways, engines)?;
+            let costs = costs(options, gateways, engines)?;
             statement.push(f64::from(engines), costs.statement_us);
             patch.push(f64::from(engines), costs.patch_us);
             whole.push(f64::from(engines), costs.whole_list_us);
@@ -83,15 +78,10 @@
     [slope(statement, Some(budget)), slope(patch, None), slope(whole, None)]
 }
 
-/// How many statements a front end has out within its part of the engines.
-fn most_out(gateways: u32, engines: u32) -> usize {
-    let room = THREADS_PER_CORE * CORES * f64::from(engines) / f64::from(gateways);
-    (ROOM_USED * room).clamp(1.0, MOST_OUT) as usize
-}
-
-fn costs(seed: u64, gateways: u32, engines: u32) -> Result<Costs, ScaleError> {
-    let mut driver = Driver::new(settings(gateways)?, seed, engines, most_out(gateways, engines));
-    let batch = (VISITS_PER_BATCH / engines).clamp(50, 2_000);
+fn costs(options: &Options, gateways: u32, engines: u32) -> Result<Costs, ScaleError> {
+    let mut driver = Driver::new(settings(gateways)?, options.seed, engines, most_out(gateways, engines));
+    let visits = if options.short { SHORT_VISITS_PER_BATCH } else { VISITS_PER_BATCH };
+    let batch = (visits / engines).clamp(50, 2_000);
     (0..batch).for_each(|_| driver.statement());
     let mut statements_us = Vec::new();
     for _ in 0..BATCHES {
@@ -131,9 +121,3 @@
     let after = Usage::own()?.resident_bytes;
     Ok(after.saturating_sub(before) as f64 / (held.len() as f64 * TARGET))
 }
-
-/// The share of a core that statements at full rate take, from the cost of one.
-#[must_use]
-pub fn core_share(statement_us: f64) -> f64 {
-    statement_us / GAP as f64
-}
--- a/tools/scale/src/engine_list.rs
+++ b/tools/scale/src/engine_list.rs
@@ -1,1 +1,217 @@
-//! Placeholder that a later commit of this change replaces.
+//! The engine list over the event bus by the number of engines: bytes of a line, time and processor time until the
+//! real program has applied it, its memory, and the longest whole list that it takes.
+//!
+//! A scripted bus says one event and then a number that is larger than it. The program answers that by a new
+//! connection, in whose greeting stands the last event that it has applied: so nothing has to be guessed from outside.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+
+use crate::error::ScaleError;
+use crate::figures::{Break, Figures, Options};
+use crate::program::{free_address, Program};
+use crate::slope::{Budget, Slope};
+use crate::usage::{least, median};
+
+const ROLE: &str = "engine_list";
+const SIZES: [u32; 6] = [80, 300, 1_000, 2_500, 5_000, 7_600];
+const SHORT_SIZES: [u32; 3] = [80, 300, 1_000];
+/// Engines that have to be carried.
+const TARGET: u32 = 12_000;
+/// The longest line that the program takes: `MAX_LINE` in violetgate/src/bus.rs.
+const LONGEST_LINE: f64 = 1_048_576.0;
+/// How long the program may take to apply an event.
+const WAIT: Duration = Duration::from_secs(10);
+/// Whole lists of one size, and patches, that are timed.
+const REPEATS: usize = 3;
+/// How often an event that was not applied is said again before it counts as refused: the program may have ended the
+/// connection by itself just then.
+const TRIES: usize = 2;
+
+/// Measures the program behind a scripted bus.
+///
+/// # Errors
+///
+/// The program can't be started or does not come to the bus.
+pub fn measure(options: &Options, figures: &mut Figures) -> Result<(), ScaleError> {
+    let mut bus = Bus::start()?;
+    let listen = free_address()?;
+    let program = Program::start(listen.clone(), &config(&listen, &bus)?)?;
+    let sizes = if options.short { &SHORT_SIZES[..] } else { &SIZES[..] };
+    let mut slopes = slopes();
+    for &engines in sizes {
+        let measured = bus.measure(&program, engines)?;
+        slopes.iter_mut().zip(measured).for_each(|(slope, cost)| slope.push(f64::from(engines), cost));
+        if options.short {
+            figures.add(&format!("engine_list_line_at_{engines}_bytes"), measured[0]);
+        }
+    }
+    let whole = whole_list(1, TARGET).len();
+    figures.add(&format!("engine_list_line_at_{TARGET}_bytes"), whole);
+    let fits = bus.apply(&whole_list(bus.last + 1, TARGET))?.is_some();
+    figures.add(&format!("engine_list_{TARGET}_fit_a_line"), fits);
+    if options.short {
+        return Ok(());
+    }
+    slopes.iter().for_each(|slope| slope.record(figures));
+    if !fits {
+        let largest = bus.largest_whole_list()?;
+        println!("engine_list: the largest whole list that the program takes has {largest} engines");
+        figures.add("engine_list_largest_whole_list_engines", largest);
+        figures.add_break(Break {
+            name: "engine_list_whole_list".to_owned(),
+            size: Some(f64::from(largest)),
+            size_of: "engines",
+            target: f64::from(TARGET),
+        });
+    }
+    Ok(())
+}
+
+fn slopes() -> [Slope; 5] {
+    let slope = |name, unit, budget: Option<f64>| Slope {
+        role: ROLE,
+        name,
+        unit,
+        size_of: "engines",
+        budget: budget.map(|cost| Budget { cost, target: f64::from(TARGET) }),
+        points: Vec::new(),
+    };
+    [
+        slope("line", "bytes", Some(LONGEST_LINE)),
+        slope("whole_list_applied", "ms", None),
+        slope("whole_list_cpu", "us", None),
+        slope("patch_cpu", "us", None),
+        slope("memory", "bytes", None),
+    ]
+}
+
+fn config(listen: &str, bus: &Bus) -> Result<serde_json::Value, ScaleError> {
+    let address = bus.listener.local_addr().map_err(ScaleError::io("address of a bus"))?;
+    Ok(json!({
+        "name": "scale", "listen": listen, "seed": "8c1f30d27a5be964", "limits": {"sockets": 1024},
+        "bus": address.to_string(), "known": {"offset": 0, "batch": []},
+        "settings": violetgate_standin::settings(),
+    }))
+}
+
+/// One engine as the bus tells it; the address is on loopback, and nothing is ever sent to it here.
+fn server(number: u32, state: &str) -> serde_json::Value {
+    let [_, high, middle, low] = number.to_be_bytes();
+    json!({
+        "id": format!("engine-{number:05}"), "addr": format!("127.{high}.{middle}.{low}:5432"), "zone": "z",
+        "kind": "k", "cell": 0, "state": state, "weight": 1, "started_ms": 0,
+    })
+}
+
+fn event(offset: u64, full: bool, servers: &[serde_json::Value]) -> String {
+    let topology = json!({"version": offset, "full": full, "servers": servers});
+    format!("{}\n", json!({"offset": offset, "topology": topology}))
+}
+
+fn whole_list(offset: u64, engines: u32) -> String {
+    let servers: Vec<_> = (1..=engines).map(|number| server(number, "in_service")).collect();
+    event(offset, true, &servers)
+}
+
+/// A bus that says what it is told to, to one follower.
+struct Bus {
+    listener: TcpListener,
+    /// The connection that the follower has greeted on.
+    follower: Option<TcpStream>,
+    /// The last event that the follower has applied.
+    last: u64,
+}
+
+impl Bus {
+    fn start() -> Result<Self, ScaleError> {
+        let listener = TcpListener::bind("127.0.0.1:0").map_err(ScaleError::io("listen for a bus"))?;
+        Ok(Bus { listener, follower: None, last: 0 })
+    }
+
+    /// Line bytes, time until applied, processor time of a whole list and of a patch, and memory, at one size.
+    fn measure(&mut self, program: &Program, engines: u32) -> Result<[f64; 5], ScaleError> {
+        let (mut applied_ms, mut whole_us, mut patch_us) = (Vec::new(), Vec::new(), Vec::new());
+        let mut bytes = 0;
+        for _ in 0..REPEATS {
+            let line = whole_list(self.last + 1, engines);
+            bytes = line.len();
+            let (took, cpu_us) = self.timed(program, &line)?;
+            applied_ms.push(took.as_secs_f64() * 1e3);
+            whole_us.push(cpu_us);
+        }
+        for repeat in 0..REPEATS {
+            let state = if repeat % 2 == 0 { "terminating" } else { "in_service" };
+            let line = event(self.last + 1, false, &[server(engines / 2, state)]);
+            patch_us.push(self.timed(program, &line)?.1);
+        }
+        let memory = program.usage()?.resident_bytes as f64;
+        Ok([bytes as f64, median(applied_ms), least(&whole_us), least(&patch_us), memory])
+    }
+
+    fn timed(&mut self, program: &Program, line: &str) -> Result<(Duration, f64), ScaleError> {
+        let before = program.usage()?.cpu;
+        let took =
+            self.apply(line)?.ok_or(ScaleError::Program("did not apply an engine list that fits a line"))?;
+        let used = program.usage()?.cpu.saturating_sub(before);
+        Ok((took, used.as_secs_f64() * 1e6))
+    }
+
+    /// Says an event until it is applied; how long that took, or `None` where the follower refuses it.
+    fn apply(&mut self, line: &str) -> Result<Option<Duration>, ScaleError> {
+        for _ in 0..TRIES {
+            let mut follower = match self.follower.take() {
+                Some(follower) => follower,
+                None => self.greeting()?.0,
+            };
+            let begun = Instant::now();
+            say(&mut follower, line, self.last + 2);
+            let took = begun.elapsed();
+            let (next, last) = self.greeting()?;
+            self.follower = Some(next);
+            if last == self.last + 1 {
+                self.last = last;
+                return Ok(Some(took));
+            }
+        }
+        Ok(None)
+    }
+
+    /// The next connection of the follower, and the event that it has applied last.
+    fn greeting(&self) -> Result<(TcpStream, u64), ScaleError> {
+        let failed = || ScaleError::io("hear the follower of a bus");
+        let (stream, _) = self.listener.accept().map_err(failed())?;
+        stream.set_read_timeout(Some(WAIT)).map_err(failed())?;
+        let mut greeting = String::new();
+        BufReader::new(&stream).read_line(&mut greeting).map_err(failed())?;
+        let last = greeting.trim().strip_prefix("from ").and_then(|last| last.parse().ok());
+        Ok((stream, last.ok_or(ScaleError::Program("greeted the bus in a way that is not known"))?))
+    }
+
+    /// The largest whole list that is applied, between the largest size that was and the smallest that was not.
+    fn largest_whole_list(&mut self) -> Result<u32, ScaleError> {
+        let mut applied = SIZES.last().copied().unwrap_or(1);
+        let mut refused = TARGET;
+        while refused - applied > 1 {
+            let middle = applied.midpoint(refused);
+            if self.apply(&whole_list(self.last + 1, middle))?.is_some() {
+                applied = middle;
+            } else {
+                refused = middle;
+            }
+        }
+        Ok(applied)
+    }
+}
+
+/// Says an event and a number past it, and waits until the follower ends the connection. It may do so while it is
+/// still being written to.
+fn say(follower: &mut TcpStream, line: &str, past: u64) {
+    let said = format!("{line}{past}\n");
+    if follower.write_all(said.as_bytes()).is_ok() {
+        let _ = follower.read(&mut [0; 1]);
+    }
+}
--- a/tools/scale/src/gateway_driver.rs
+++ b/tools/scale/src/gateway_driver.rs
@@ -15,7 +15,7 @@
 /// Time between two of them.
 pub const GAP: Micros = 1_000_000 / STATEMENTS_PER_SECOND;
 /// Zones that engines stand in, in turn.
-const ZONES: u32 = 5;
+pub const ZONES: u32 = 5;
 /// One statement in so many is a report; the others are look-ups.
 const REPORT_EVERY: u64 = 20;
 /// Where injected time begins.
@@ -23,6 +23,21 @@
 /// How long a client waits for its answer.
 const TIME_LEFT: Micros = 5_000_000;
 
+/// Statements that are out at a time, where the front end's part of the engines allows as many.
+const MOST_OUT: f64 = 20.0;
+/// The module bears this many threads a core in all; cores of one engine.
+const THREADS_PER_CORE: f64 = 2.0;
+const CORES: f64 = 8.0;
+/// The part of its room that a front end uses.
+const ROOM_USED: f64 = 0.7;
+
+/// How many statements a front end has out within its part of the engines.
+#[must_use]
+pub fn most_out(gateways: u32, engines: u32) -> usize {
+    let room = THREADS_PER_CORE * CORES * f64::from(engines) / f64::from(gateways);
+    (ROOM_USED * room).clamp(1.0, MOST_OUT) as usize
+}
+
 /// Settings of a front end that is one of so many.
 ///
 /// # Errors
--- a/tools/scale/src/lib.rs
+++ b/tools/scale/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod gateway_driver;
 pub mod hollow;
 pub mod membership;
+pub mod page;
+pub mod program;
 pub mod slope;
 pub mod usage;
 
