--- a/tools/scale/src/bin/prove-scale.rs
+++ b/tools/scale/src/bin/prove-scale.rs
@@ -1,3 +1,103 @@
 //! `prove-scale`: measures what each role costs by size and holds the figures to their bounds.
 
-fn main() {}
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+
+use clap::builder::PossibleValuesParser;
+use clap::Parser;
+use violetgate_scale::{agreed_state, client_side, decisions, engine_list, engine_side, page};
+use violetgate_scale::{Figures, Options, ScaleError};
+
+/// Where random numbers begin unless the command line says otherwise.
+const SEED: u64 = 7;
+
+/// What can be measured.
+struct Role {
+    name: &'static str,
+    measure: fn(&Options, &mut Figures) -> Result<(), ScaleError>,
+}
+
+/// All roles, in the order in which they are measured. A new one is a line here.
+const ROLES: &[Role] = &[
+    Role { name: "decisions", measure: decisions::measure },
+    Role { name: "engine-list", measure: engine_list::measure },
+    Role { name: "client-side", measure: client_side::measure },
+    Role { name: "engine-side", measure: engine_side::measure },
+    Role { name: "agreed-state", measure: agreed_state::measure },
+];
+
+/// Measures what each role costs by size, fits it, and prints the size at which each passes its budget
+#[derive(Debug, Parser)]
+struct Arguments {
+    /// The form for CI: small sizes, held to counts and bytes and not to time
+    #[arg(long)]
+    short: bool,
+    /// Measures only this role; may be given several times
+    #[arg(long, value_name = "ROLE", value_parser = PossibleValuesParser::new(ROLES.iter().map(|role| role.name)))]
+    only: Vec<String>,
+    /// Where random numbers begin
+    #[arg(long, default_value_t = SEED)]
+    seed: u64,
+    /// Measures nothing: compares this page's block of figures with the saved ones
+    #[arg(long, value_name = "FILE")]
+    page: Option<PathBuf>,
+    /// The saved last line of a run
+    #[arg(long, value_name = "FILE", default_value = "docs/scale-figures.txt", requires = "page")]
+    figures: PathBuf,
+    /// Rewrites the page's block instead
+    #[arg(long, requires = "page")]
+    write: bool,
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    match &arguments.page {
+        Some(file) => compare(file, &arguments.figures, arguments.write),
+        None => measure(&arguments),
+    }
+}
+
+fn compare(file: &Path, figures: &Path, write: bool) -> ExitCode {
+    let done = if write { page::rewrite(file, figures) } else { page::check(file, figures) };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            println!("MISSED: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn measure(arguments: &Arguments) -> ExitCode {
+    let options = Options { short: arguments.short, seed: arguments.seed };
+    let chosen =
+        |role: &&Role| arguments.only.is_empty() || arguments.only.iter().any(|name| name == role.name);
+    let mut figures = Figures::default();
+    for role in ROLES.iter().filter(chosen) {
+        if let Err(error) = (role.measure)(&options, &mut figures) {
+            figures.missed(format!("{}: {error}", role.name));
+        }
+    }
+    finish(&figures)
+}
+
+/// Prints the order in which roles end, what missed its bound, and last the line of all figures.
+fn finish(figures: &Figures) -> ExitCode {
+    for (place, role_ends) in figures.breaks().iter().enumerate() {
+        let (name, size_of, target) = (&role_ends.name, role_ends.size_of, role_ends.target);
+        match role_ends.size {
+            Some(size) => {
+                let percent = 100.0 * role_ends.share();
+                println!("ends {}: {name} at {size:.0} {size_of}, {percent:.1}% of {target}", place + 1);
+            }
+            None => println!("ends {}: {name} at no size of {size_of}", place + 1),
+        }
+    }
+    figures.failures().iter().for_each(|missed| println!("MISSED: {missed}"));
+    println!("{}", figures.line("scale"));
+    if figures.failures().is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
