Measure what membership costs by size, with the real core in the simulator

Need: how membership's cost grows was known up to 300 members only, and a turn looked through all known members. Core: indexes of the suspected, the gone and those on the rings, digests by bucket, a queue of news in order; what it decides stays the same, and `digest` gives the same numbers. Simulator: faults by member, one heap with the events in it, agreement by digest first, processor time of the core by thread clock. `load` plays six cases; `settled_fleet` starts from known views. `measure-membership CASE SIZE` prints one case; violetgate-scale takes them as figures.

--- a/fleet/membership/src/handling.rs
+++ b/fleet/membership/src/handling.rs
@@ -1,8 +1,8 @@
 //! What is heard: messages, the claims that they bring, and what this member says of itself. And the rounds in which
 //! news, whole views and knocks at the dead go out.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use rand_chacha::rand_core::RngCore;
 
@@ -43,7 +43,7 @@
             self.woken.iter_mut().for_each(|(_, heard)| _ = heard.insert(Name::clone(&name)));
         } else if !matches!(message.body, Body::Ack(_) | Body::Tell) {
             // It does not know that it is taken for dead, and has to, to refute.
-            let told = Some(p.claim.clone());
+            let told = Some(Claim::clone(&p.claim));
             let message = self.message(Body::Tell, told);
             actions.push(Action::Send(from, message));
         }
@@ -116,10 +116,11 @@
                 next_ping
             },
             revived,
-            claim: claim.clone(),
+            place: None,
+            claim: Arc::new(claim.clone()),
         };
         let (was, is) = (old.is_some_and(Peer::on_rings), peer.on_rings());
-        self.peers.insert(Name::clone(&name), peer);
+        self.peers.insert(peer);
         if was != is {
             if is {
                 self.rings.add(&name);
@@ -154,14 +155,7 @@
 
     /// Some members on the rings, at random, without one.
     pub(crate) fn some(&mut self, count: usize, without: &Name) -> Vec<SocketAddr> {
-        let fit = self.peers.values().filter(|p| p.on_rings() && p.claim.name != *without);
-        let mut fit: Vec<SocketAddr> = fit.map(|p| p.claim.addr).collect();
-        let mut some = Vec::new();
-        while some.len() < count && !fit.is_empty() {
-            let at = (self.rng.next_u64() % fit.len() as u64) as usize;
-            some.push(fit.swap_remove(at));
-        }
-        some
+        self.peers.some_serving(count, without, &mut self.rng)
     }
 
     /// News goes out at once, in rounds, until it has been told often enough.
@@ -194,7 +188,7 @@
 
     /// The whole view, in as many messages as it takes.
     fn tell_all(&mut self, to: SocketAddr, actions: &mut Vec<Action>) {
-        let all: Vec<Claim> = self.peers.values().map(|p| p.claim.clone()).collect();
+        let all: Vec<Claim> = self.peers.values().map(|p| Claim::clone(&p.claim)).collect();
         for part in all.chunks(MOST_CLAIMS - 1) {
             let claims = std::iter::once(self.own.clone()).chain(part.iter().cloned()).collect();
             actions.push(Action::Send(to, Message { body: Body::Tell, claims }));
@@ -208,24 +202,46 @@
             return;
         }
         self.next_knock = self.now + self.manner.probe_every;
-        let known: BTreeSet<SocketAddr> = self.peers.values().map(|p| p.claim.addr).collect();
-        let dead = self.peers.values().filter(|p| p.claim.state == State::Dead).map(|p| p.claim.addr);
-        let unknown = self.seeds.iter().copied().filter(|s| !known.contains(s));
-        let mut doors: Vec<SocketAddr> = dead.chain(unknown).collect();
+        let dead = self.peers.gone().filter(|p| p.claim.state == State::Dead).map(|p| p.claim.addr);
+        let mut doors: Vec<SocketAddr> = dead.collect();
+        doors.extend(self.unknown_seeds());
         let digest = self.digest();
         for _ in 0..2.min(doors.len()) {
             let at = (self.rng.next_u64() % doors.len() as u64) as usize;
             let addr = doors.swap_remove(at);
-            let told =
-                self.peers.values().find(|p| p.claim.addr == addr && !p.on_rings()).map(|p| p.claim.clone());
+            let told = self.peers.gone().find(|p| p.claim.addr == addr).map(|p| Claim::clone(&p.claim));
             let message = self.message(Body::Compare(digest), told);
             actions.push(Action::Send(addr, message));
         }
     }
 
+    /// Where the settings say that others are, and nobody is known to be. Which member is at a seed is remembered, so
+    /// that the whole table is looked through only while that is not known.
+    fn unknown_seeds(&mut self) -> Vec<SocketAddr> {
+        let mut unknown = Vec::new();
+        for seed in &mut self.seeds {
+            let at_seed = |p: &Peer| p.claim.addr == seed.addr;
+            let known = seed.member.as_ref().and_then(|name| self.peers.get(name));
+            if known.is_some_and(at_seed) {
+                continue;
+            }
+            seed.member = self.peers.values().find(|p| at_seed(p)).map(|p| Name::clone(&p.claim.name));
+            if seed.member.is_none() {
+                unknown.push(seed.addr);
+            }
+        }
+        unknown
+    }
+
     /// Those long gone are forgotten.
     pub(crate) fn forget(&mut self) {
+        if self.now < self.next_forget {
+            return;
+        }
+        self.next_forget = self.now + self.manner.probe_every;
         let (now, span) = (self.now, self.manner.forget);
-        self.peers.retain(|_, p| p.on_rings() || now < p.since + span);
+        let over = self.peers.gone().filter(|p| now >= p.since + span);
+        let over: Vec<Name> = over.map(|p| Name::clone(&p.claim.name)).collect();
+        over.iter().for_each(|name| self.peers.remove(name));
     }
 }
--- a/fleet/membership/src/lib.rs
+++ b/fleet/membership/src/lib.rs
@@ -7,6 +7,7 @@
 //! nobody until it has heard from others again. `docs/membership.md` has the options and the figures.
 
 mod claim;
+mod digest;
 mod handling;
 mod membership;
 mod message;
@@ -14,6 +15,7 @@
 mod rings;
 mod shares;
 mod spread;
+mod table;
 
 pub use claim::{place, Claim, Name, State, LONGEST_NAME};
 #[doc(hidden)]
--- a/fleet/membership/src/membership.rs
+++ b/fleet/membership/src/membership.rs
@@ -3,15 +3,18 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
 use crate::claim::{Claim, Name, State};
+use crate::digest::BucketDigests;
 use crate::message::Message;
 use crate::probing::{Helped, Probe};
 use crate::rings::Rings;
 use crate::spread::Spread;
+use crate::table::PeerTable;
 use crate::Micros;
 
 /// A way to decide wrongly, for tests that have to notice it; without the feature `mutants` none ever holds.
@@ -97,7 +100,8 @@
 /// What is known of one other.
 #[derive(Debug, Clone)]
 pub(crate) struct Peer {
-    pub claim: Claim,
+    /// Shared where views are copied: most claims never change.
+    pub claim: Arc<Claim>,
     /// Since when it is in this state.
     pub since: Micros,
     /// Who has no answer of it, in this turn.
@@ -109,6 +113,8 @@
     pub next_ping: Micros,
     /// How often it has come back from the dead in this life, and until when it is not believed to stay.
     pub revived: u32,
+    /// Its place among those on the rings; the table sets it.
+    pub place: Option<u32>,
 }
 
 /// A member as the view has it.
@@ -130,12 +136,19 @@
     pub turn: u32,
 }
 
+/// Where another may be found, and which member was there when it was last looked for.
+#[derive(Debug, Clone)]
+pub(crate) struct Seed {
+    pub addr: SocketAddr,
+    pub member: Option<Name>,
+}
+
 /// One front end's view.
 #[derive(Debug, Clone)]
 pub struct Membership {
     pub(crate) manner: Manner,
     pub(crate) own: Claim,
-    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) seeds: Vec<Seed>,
     pub(crate) rng: ChaCha8Rng,
     pub(crate) now: Micros,
     /// When the last turn was; a turn that comes much later than asked for was not this process's choice.
@@ -144,7 +157,7 @@
     pub(crate) woken: Option<(Micros, BTreeSet<Name>)>,
     /// From 0, well, to 8: this process has been slow, or hears little.
     pub(crate) strain: u32,
-    pub(crate) peers: BTreeMap<Name, Peer>,
+    pub(crate) peers: PeerTable,
     pub(crate) rings: Rings,
     pub(crate) watched: Option<BTreeSet<Name>>,
     pub(crate) probes: BTreeMap<u64, Probe>,
@@ -154,6 +167,7 @@
     pub(crate) next_spread: Micros,
     pub(crate) next_exchange: Micros,
     pub(crate) next_knock: Micros,
+    pub(crate) next_forget: Micros,
     pub(crate) superseded: bool,
 }
 
@@ -174,13 +188,13 @@
         Membership {
             manner,
             own,
-            seeds: seeds.iter().copied().filter(|s| *s != addr).collect(),
+            seeds: seeds.iter().filter(|s| **s != addr).map(|s| Seed { addr: *s, member: None }).collect(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
             turned: None,
             woken: None,
             strain: 0,
-            peers: BTreeMap::new(),
+            peers: PeerTable::default(),
             rings,
             watched: None,
             probes: BTreeMap::new(),
@@ -190,6 +204,7 @@
             next_spread: 0,
             next_exchange: 0,
             next_knock: 0,
+            next_forget: 0,
             superseded: false,
         }
     }
@@ -211,6 +226,44 @@
         &self.own.name
     }
 
+    /// What this member says of itself.
+    #[must_use]
+    pub fn own_claim(&self) -> &Claim {
+        &self.own
+    }
+
+    /// Takes over the view of another member, as of one that has been up for long. Nothing of it is news: it is not
+    /// told on, and no change is noted.
+    pub fn adopt_view(&mut self, other: &Membership) {
+        let mut peers = other.peers.clone();
+        peers.remove(&self.own.name);
+        peers.insert(Peer::new(other.own.clone(), self.now));
+        self.peers = peers;
+        self.rings = other.rings.clone();
+        self.rings.add(&self.own.name);
+        self.watched = None;
+    }
+
+    /// Takes claims that are no news, and drops the room that the tables hold in reserve.
+    pub fn adopt_claims(&mut self, claims: &[Claim]) {
+        for claim in claims.iter().filter(|claim| claim.name != self.own.name) {
+            let peer = Peer::new(claim.clone(), self.now);
+            if peer.on_rings() {
+                self.rings.add(&claim.name);
+            }
+            self.peers.insert(peer);
+        }
+        self.peers.shrink();
+        self.rings.shrink();
+        self.watched = None;
+    }
+
+    /// The newest life that is known of another.
+    #[must_use]
+    pub fn life_of(&self, name: &str) -> Option<u64> {
+        self.peers.get(name).map(|peer| peer.claim.life)
+    }
+
     /// Whether it doubts itself: it was stopped, and has not heard enough since.
     #[must_use]
     pub fn doubts_itself(&self) -> bool {
@@ -234,8 +287,7 @@
     /// sends to engines.
     #[must_use]
     pub fn serving(&self) -> u32 {
-        let serving = self.peers.values().filter(|p| p.on_rings()).count();
-        u32::try_from(serving).unwrap_or(u32::MAX).saturating_add(u32::from(!self.superseded))
+        u32::try_from(self.peers.serving()).unwrap_or(u32::MAX).saturating_add(u32::from(!self.superseded))
     }
 
     /// Messages that were not sent again, as the queue of news was full.
@@ -247,15 +299,32 @@
     /// A number that two views share if they hold the same.
     #[must_use]
     pub fn digest(&self) -> u64 {
-        let one = |c: &Claim| {
-            let (life, left, turn, state) = c.rank();
-            crate::place(&c.name, life ^ u64::from(turn) << 8 ^ u64::from(left) << 7 ^ state as u64)
-        };
-        self.peers.values().map(|p| one(&p.claim)).fold(one(&self.own), |sum, n| sum.wrapping_add(n))
+        self.digests().total()
+    }
+
+    /// What the view comes to by bucket, this member included.
+    pub(crate) fn digests(&self) -> BucketDigests {
+        let mut digests = self.peers.digests().clone();
+        digests.add(&self.own);
+        digests
     }
 }
 
 impl Peer {
+    /// One that is known from now on.
+    pub fn new(claim: Claim, now: Micros) -> Self {
+        Peer {
+            since: now,
+            accusers: claim.by.iter().cloned().collect(),
+            heard: now,
+            cut: None,
+            next_ping: now,
+            revived: 0,
+            place: None,
+            claim: Arc::new(claim),
+        }
+    }
+
     /// On the rings: it is watched, and watches.
     pub fn on_rings(&self) -> bool {
         matches!(self.claim.state, State::Alive | State::Suspect)
--- a/fleet/membership/src/probing.rs
+++ b/fleet/membership/src/probing.rs
@@ -75,7 +75,7 @@
     }
 
     fn look_at_self(&mut self) {
-        let others = self.peers.values().filter(|p| p.on_rings()).count();
+        let others = self.peers.serving();
         if self.woken.as_ref().is_some_and(|(_, heard)| heard.len() >= HEARD_AGAIN.min(others)) {
             self.woken = None;
         }
@@ -98,7 +98,7 @@
 
     /// What one that is suspected, or taken for dead, is told with each ping and answer: it can only refute what it hears.
     pub(crate) fn doubted(&self, name: &Name) -> Option<Claim> {
-        self.peers.get(name).filter(|p| p.claim.state != State::Alive).map(|p| p.claim.clone())
+        self.peers.get(name).filter(|p| p.claim.state != State::Alive).map(|p| Claim::clone(&p.claim))
     }
 
     fn ping(&mut self, target: &Name, addr: SocketAddr, seq: u64, actions: &mut Vec<Action>) {
@@ -167,7 +167,7 @@
         if p.heard > probe.sent {
             return self.set_cut(&probe.target, true, actions);
         }
-        let claim = Claim { state: State::Suspect, by: Some(own), ..p.claim.clone() };
+        let claim = Claim { state: State::Suspect, by: Some(own), ..Claim::clone(&p.claim) };
         self.merge(claim, actions);
     }
 
@@ -237,7 +237,7 @@
                 && now >= p.since + wait
                 && now >= p.heard + base / 2
         };
-        let dead: Vec<Claim> = self.peers.values().filter(dead).map(|p| p.claim.clone()).collect();
+        let dead: Vec<Claim> = self.peers.suspects().filter(dead).map(|p| Claim::clone(&p.claim)).collect();
         for claim in dead {
             self.merge(Claim { state: State::Dead, by: None, ..claim }, actions);
         }
--- a/fleet/membership/src/rings.rs
+++ b/fleet/membership/src/rings.rs
@@ -30,6 +30,11 @@
         }
     }
 
+    /// Drops the room that they hold in reserve.
+    pub(crate) fn shrink(&mut self) {
+        self.0.iter_mut().for_each(|ring| *ring = std::mem::take(ring).into_iter().collect());
+    }
+
     /// Those that a member watches: the next on each ring.
     #[must_use]
     pub fn watched_by(&self, name: &Name) -> BTreeSet<Name> {
--- a/fleet/membership/src/spread.rs
+++ b/fleet/membership/src/spread.rs
@@ -1,35 +1,49 @@
 //! News on its way: each claim rides along on so many messages, the least told first, in a queue of bounded length.
+//! Taking and replacing claims costs the logarithm of the queue's length, since a whole fleet that starts at once
+//! fills it.
 
-use crate::claim::{Claim, State};
+use std::collections::BTreeMap;
+
+use crate::claim::{Claim, Name, State};
 
 /// The most claims that wait to be told.
 const MOST: usize = 4_096;
 
-#[derive(Debug, Clone)]
-struct News {
-    claim: Claim,
+/// Where a claim stands in the queue: the least told first, then deaths and suspicions, for which there is less time,
+/// then by age.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Position {
     told: u32,
+    alive: bool,
+    number: u64,
 }
 
 /// The queue.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Spread {
-    queue: Vec<News>,
+    queue: BTreeMap<Position, Claim>,
+    /// Where the claims of each name stand: one, or as many as accuse it.
+    by_name: BTreeMap<Name, Vec<Position>>,
+    next_number: u64,
     pub dropped: u64,
 }
 
 impl Spread {
     /// Queues a claim in place of what it makes old. Full: what has been told most often goes.
     pub fn push(&mut self, claim: Claim) {
-        let same =
-            |n: &News| n.claim.name == claim.name && (n.claim.rank() < claim.rank() || n.claim == claim);
-        self.queue.retain(|n| !same(n));
+        let old: Vec<Position> = self.by_name.get(&claim.name).into_iter().flatten().copied().collect();
+        for position in old {
+            let outdated = |c: &Claim| c.rank() < claim.rank() || *c == claim;
+            if self.queue.get(&position).is_some_and(outdated) {
+                self.remove(position);
+            }
+        }
         if self.queue.len() >= MOST {
-            let most = self.queue.iter().enumerate().max_by_key(|(_, n)| n.told).map(|(i, _)| i);
-            most.map(|i| self.queue.swap_remove(i));
+            let last = self.queue.last_key_value().map(|(position, _)| *position);
+            last.and_then(|position| self.remove(position));
             self.dropped += 1;
         }
-        self.queue.push(News { claim, told: 0 });
+        self.add(claim, 0);
     }
 
     pub fn is_empty(&self) -> bool {
@@ -38,11 +52,33 @@
 
     /// The next claims to tell; what has been told `times` by then is done with.
     pub fn take(&mut self, most: usize, times: u32) -> Vec<Claim> {
-        // Deaths and suspicions first among those told as often: there is less time for them.
-        self.queue.sort_by_key(|n| (n.told, n.claim.state == State::Alive));
-        let taken: Vec<Claim> = self.queue.iter().take(most).map(|n| n.claim.clone()).collect();
-        self.queue.iter_mut().take(most).for_each(|n| n.told += 1);
-        self.queue.retain(|n| n.told < times);
+        let positions: Vec<Position> = self.queue.keys().take(most).copied().collect();
+        let mut taken = Vec::with_capacity(positions.len());
+        for position in positions {
+            let Some(claim) = self.remove(position) else { continue };
+            if position.told + 1 < times {
+                self.add(claim.clone(), position.told + 1);
+            }
+            taken.push(claim);
+        }
         taken
     }
+
+    fn add(&mut self, claim: Claim, told: u32) {
+        let position = Position { told, alive: claim.state == State::Alive, number: self.next_number };
+        self.next_number += 1;
+        self.by_name.entry(Name::clone(&claim.name)).or_default().push(position);
+        self.queue.insert(position, claim);
+    }
+
+    fn remove(&mut self, position: Position) -> Option<Claim> {
+        let claim = self.queue.remove(&position)?;
+        if let Some(positions) = self.by_name.get_mut(&claim.name) {
+            positions.retain(|p| *p != position);
+            if positions.is_empty() {
+                self.by_name.remove(&claim.name);
+            }
+        }
+        Some(claim)
+    }
 }
--- a/tools/scale/src/membership.rs
+++ b/tools/scale/src/membership.rs
@@ -1,1 +1,87 @@
-//! Placeholder that a later commit of this change replaces.
+//! What membership costs by the size of the fleet: the real core of each member, in a simulated network.
+
+use std::time::Duration;
+
+use thiserror::Error;
+use violetgate_membership::Manner;
+use violetgate_simulator::load::{play, Case, Load};
+
+use crate::{Figures, Options};
+
+/// Sizes of the short form.
+const SHORT_SIZES: [usize; 2] = [100, 300];
+/// Sizes of the whole form. The core knows at most [`Manner::most`] others; larger sizes are left out.
+const SIZES: [usize; 5] = [300, 600, 1_000, 2_000, 4_000];
+/// Cases of the short form: those that are soon played.
+const SHORT_CASES: [Case; 2] = [Case::Rest, Case::Start];
+/// How long a case of the whole form may be played; what is longer is reported as cut short.
+const LONGEST: Duration = Duration::from_secs(300);
+/// How long a case of the short form may be played: enough on any machine, so that its counts stay the same.
+const LONGEST_SHORT: Duration = Duration::from_secs(120);
+/// Bytes a second that a member may send in a quiet fleet, whatever its size.
+const REST_BYTES_PER_S: f64 = 1_000.0;
+
+/// Why membership could not be measured.
+#[derive(Debug, Error)]
+pub enum MembershipError {
+    /// The setting for the most members leaves no size to measure.
+    #[error("the membership's limit of {0} members is under every size to measure: raise `Manner::most`")]
+    NoSize(usize),
+}
+
+/// Measures all cases at all sizes.
+///
+/// # Errors
+///
+/// There is no size that the core takes.
+pub fn measure(options: &Options, figures: &mut Figures) -> Result<(), MembershipError> {
+    let manner = Manner::default();
+    let fits = |size: &usize| *size <= manner.most;
+    let all: &[usize] = if options.short { &SHORT_SIZES } else { &SIZES };
+    let sizes: Vec<usize> = all.iter().copied().filter(fits).collect();
+    if sizes.is_empty() {
+        return Err(MembershipError::NoSize(manner.most));
+    }
+    let cases: &[Case] = if options.short { &SHORT_CASES } else { &Case::ALL };
+    let longest = if options.short { LONGEST_SHORT } else { LONGEST };
+    for size in sizes {
+        for case in cases {
+            let load = play(*case, size, &manner, options.seed, longest);
+            report(*case, size, &load, options, figures);
+        }
+    }
+    Ok(())
+}
+
+fn report(case: Case, size: usize, load: &Load, options: &Options, figures: &mut Figures) {
+    let name = |unit: &str| format!("membership_{}_{size}_{unit}", case.name());
+    let bound = if case == Case::Rest { REST_BYTES_PER_S } else { f64::INFINITY };
+    figures.at_most(&name("bytes_per_s"), load.bytes_per_s, bound);
+    figures.add_number(&name("busiest_bytes_per_s"), load.busiest_bytes_per_s);
+    figures.add_number(&name("peak_bytes_per_s"), load.peak_bytes_per_s);
+    figures.add_number(&name("messages_per_s"), load.messages_per_s);
+    figures.add(&name("false_declarations"), load.false_declarations);
+    match load.known_s {
+        Some(known) => figures.add_number(&name("known_s"), known),
+        None => figures.add(&name("known_s"), "none"),
+    }
+    if !options.short {
+        figures.add_number(&name("cpu_us_per_s"), load.cpu_us_per_s);
+        figures.add(&name("memory_bytes"), load.memory_bytes);
+    }
+    if load.cut_short {
+        figures.add_number(&name("cut_short_at_s"), load.simulated_s);
+    }
+    // Across a cut the living are declared dead, and a process that is back was dead; elsewhere it is a fault.
+    let expects_none = matches!(case, Case::Rest | Case::Start | Case::Rollout);
+    if expects_none && load.false_declarations > 0 {
+        figures.missed(format!(
+            "{}: {} members that run were declared dead",
+            name("cost"),
+            load.false_declarations
+        ));
+    }
+    if case == Case::Start && load.known_s.is_none() && !load.cut_short {
+        figures.missed(format!("{}: a fleet that started at once has not come to one view", name("known_s")));
+    }
+}
--- /dev/null
+++ b/tools/simulator/src/bin/measure-membership.rs
@@ -0,0 +1,24 @@
+//! What membership costs by size, one case in a process: `measure-membership CASE SIZE [SEED [AT_MOST_SECONDS]]`.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use violetgate_membership::Manner;
+use violetgate_simulator::load::{play, Case};
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().collect();
+    let number = |at: usize| args.get(at).and_then(|n| n.parse::<u64>().ok());
+    let case = Case::ALL.into_iter().find(|case| args.get(1).is_some_and(|name| name == case.name()));
+    let (Some(case), Some(count)) = (case, number(2)) else {
+        eprintln!(
+            "usage: measure-membership rest|change|fifth|halves|rollout|start SIZE [SEED [AT_MOST_SECONDS]]"
+        );
+        return ExitCode::FAILURE;
+    };
+    let manner = Manner::default();
+    let at_most = Duration::from_secs(number(4).unwrap_or(600));
+    let load = play(case, count as usize, &manner, number(3).unwrap_or(1), at_most);
+    println!("{} {count}: {load:?}", case.name());
+    ExitCode::SUCCESS
+}
--- a/tools/simulator/src/lib.rs
+++ b/tools/simulator/src/lib.rs
@@ -2,13 +2,21 @@
 //! processes, one-sided cuts, deaths and restarts. It notes what each view says, step by step, and knows what is true.
 //! It must never decide anything for a member.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+mod faults;
+pub mod load;
+mod queue;
+
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use violetgate_membership::{Action, Manner, Member, Membership, Message, Micros, Name, State};
+use rustix::time::{clock_gettime, ClockId};
+use violetgate_membership::{Action, Claim, Manner, Member, Membership, Message, Micros, Name, State};
+
+use crate::faults::FaultIndex;
+pub use crate::faults::{Cut, FaultPlan};
+use crate::queue::EventQueue;
 
 /// A second.
 pub const S: Micros = 1_000_000;
@@ -17,36 +25,6 @@
 /// What a datagram costs beside its bytes.
 const HEADER: u64 = 28;
 
-/// Messages from some to some others are lost in a span.
-#[derive(Debug, Clone)]
-pub struct Cut {
-    /// From these.
-    pub from: Vec<usize>,
-    /// To these.
-    pub to: Vec<usize>,
-    /// From then on.
-    pub begin: Micros,
-    /// Until then.
-    pub end: Micros,
-}
-
-/// What happens in a run.
-#[derive(Debug, Clone, Default)]
-pub struct FaultPlan {
-    /// The share of messages that are lost.
-    pub loss: f64,
-    /// Messages take 1 ms and up to this much longer.
-    pub jitter: Micros,
-    /// A process stands still: which, from when, until when. What comes meanwhile is there when it goes on.
-    pub pauses: Vec<(usize, Micros, Micros)>,
-    /// Links that are cut.
-    pub cuts: Vec<Cut>,
-    /// A process dies without a word, at that time.
-    pub deaths: Vec<(usize, Micros)>,
-    /// A process says that it leaves, and goes.
-    pub leaves: Vec<(usize, Micros)>,
-}
-
 /// What a view said of a member, when.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Seen {
@@ -62,23 +40,29 @@
 
 #[derive(Debug, Clone)]
 enum Event {
-    Deliver(usize, Message),
+    Deliver(usize, Box<Message>),
     Turn(usize),
 }
 
 /// A fleet at work.
 #[derive(Debug, Clone)]
 pub struct World {
-    faults: FaultPlan,
+    faults: FaultIndex,
     members: Vec<Membership>,
     running: Vec<bool>,
-    queue: BinaryHeap<Reverse<(Micros, u64)>>,
-    events: BTreeMap<u64, Event>,
-    next: u64,
+    queue: EventQueue<Event>,
     rng: ChaCha8Rng,
     now: Micros,
-    /// All changes of views.
+    /// All changes of views, while `records`.
     pub seen: Vec<Seen>,
+    /// Whether `seen` and `links` are kept; large fleets change their views too often for that.
+    pub records: bool,
+    /// How often a view held a member for dead that ran.
+    pub false_declarations: u64,
+    /// Processor time spent in the members' own code.
+    pub core_time: Duration,
+    /// Events handled.
+    pub events: u64,
     /// Cut links that views told of, and their ends: when, whose view, which member, cut or not.
     pub links: Vec<(Micros, usize, usize, bool)>,
     /// Bytes and messages sent by each, from `measured_from` on.
@@ -87,6 +71,12 @@
     pub measured_from: Micros,
 }
 
+/// Processor time of this thread: other work on the machine does not count.
+fn thread_time() -> Duration {
+    let now = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(now.tv_sec.unsigned_abs(), now.tv_nsec as u32)
+}
+
 fn addr(i: usize) -> SocketAddr {
     let [.., a, b] = (i as u32).to_be_bytes();
     SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, 1, a, b)), 7000)
@@ -121,15 +111,17 @@
             Membership::new(manner.clone(), name(i), addr(i), 1_000, &seeds, own)
         };
         let mut world = World {
-            faults,
+            faults: FaultIndex::new(faults, count),
             members: (0..count).map(member).collect(),
             running: vec![true; count],
-            queue: BinaryHeap::new(),
-            events: BTreeMap::new(),
-            next: 0,
+            queue: EventQueue::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             now: 0,
             seen: Vec::new(),
+            records: true,
+            false_declarations: 0,
+            core_time: Duration::ZERO,
+            events: 0,
             links: Vec::new(),
             sent: vec![(0, 0); count],
             measured_from: 0,
@@ -141,19 +133,20 @@
         world
     }
 
-    fn add(&mut self, at: Micros, event: Event) {
-        self.queue.push(Reverse((at, self.next)));
-        self.events.insert(self.next, event);
-        self.next += 1;
+    /// A fleet of so many that know each other already, as one that has been up for long.
+    #[must_use]
+    pub fn settled_fleet(count: usize, seed: u64, manner: &Manner, faults: FaultPlan) -> Self {
+        let mut world = World::new(count, seed, manner, faults);
+        let claims: Vec<Claim> = world.members.iter().map(|member| member.own_claim().clone()).collect();
+        if let Some((first, others)) = world.members.split_first_mut() {
+            first.adopt_claims(&claims);
+            others.iter_mut().for_each(|member| member.adopt_view(first));
+        }
+        world
     }
 
-    fn paused_until(&self, i: usize, at: Micros) -> Option<Micros> {
-        self.faults
-            .pauses
-            .iter()
-            .filter(|(p, from, to)| *p == i && (*from..*to).contains(&at))
-            .map(|p| p.2)
-            .max()
+    fn add(&mut self, at: Micros, event: Event) {
+        self.queue.push(at, event);
     }
 
     /// The view of a member.
@@ -173,19 +166,47 @@
         self.running.get(i).copied().unwrap_or(false)
     }
 
+    /// Whether the life of a member that a view knows is one that runs.
+    fn runs_in_view(&self, by: usize, of: usize) -> bool {
+        let known = self.members.get(by).and_then(|m| m.life_of(&name(of)));
+        let true_life = self.members.get(of).map(|m| m.own_claim().life);
+        self.runs(of) && known == true_life
+    }
+
     /// Whether all that run hold the same, and of each other that they are alive.
     #[must_use]
     pub fn agrees(&self) -> bool {
-        let mut digests = (0..self.members.len()).filter(|i| self.runs(*i)).map(|i| {
-            let alive = self.view(i).filter(|m| self.runs(number(&m.name))).all(|m| m.state == State::Alive);
-            let all = self.view(i).filter(|m| self.runs(number(&m.name))).count() + 1;
-            (
-                alive && all == self.running.iter().filter(|r| **r).count(),
-                self.members.get(i).map(Membership::digest),
-            )
-        });
+        let running: Vec<usize> = (0..self.members.len()).filter(|i| self.runs(*i)).collect();
+        self.same_digests() && running.iter().all(|i| self.sees_all_that_run(*i, running.len()))
+    }
+
+    /// Whether all that run hold the same, and of those that don't run that they are gone.
+    #[must_use]
+    pub fn settled(&self) -> bool {
+        let gone = |m: &Member| matches!(m.state, State::Dead | State::Left) || self.runs(number(&m.name));
+        let first = (0..self.members.len()).find(|i| self.runs(*i));
+        let running = self.running.iter().filter(|r| **r).count();
+        let right = |i: usize| self.sees_all_that_run(i, running) && self.view(i).all(|m| gone(&m));
+        // Views with one digest hold the same.
+        self.same_digests() && first.is_none_or(right)
+    }
+
+    fn same_digests(&self) -> bool {
+        let running = self.members.iter().zip(&self.running).filter(|(_, runs)| **runs);
+        let mut digests = running.map(|(member, _)| member.digest());
         let Some(first) = digests.next() else { return true };
-        first.0 && digests.all(|d| d == first)
+        digests.all(|digest| digest == first)
+    }
+
+    fn sees_all_that_run(&self, i: usize, running: usize) -> bool {
+        let mut others = 0;
+        for member in self.view(i).filter(|m| self.runs(number(&m.name))) {
+            if member.state != State::Alive {
+                return false;
+            }
+            others += 1;
+        }
+        others + 1 == running
     }
 
     /// Runs until a time; `step` is called after each event with what is true then, and ends the run with an error.
@@ -198,89 +219,92 @@
         until: Micros,
         mut step: impl FnMut(&World) -> Result<(), String>,
     ) -> Result<(), String> {
-        while let Some(Reverse((at, id))) = self.queue.peek().copied().filter(|Reverse((at, _))| *at <= until)
-        {
-            self.queue.pop();
+        while let Some((at, event)) = self.queue.pop_until(until) {
             self.now = at;
-            let Some(event) = self.events.remove(&id) else { continue };
-            let i = match &event {
-                Event::Deliver(to, _) | Event::Turn(to) => *to,
-            };
-            if self.faults.deaths.iter().any(|(d, t)| *d == i && *t <= at) {
-                self.running.get_mut(i).into_iter().for_each(|r| *r = false);
-            }
-            if !self.runs(i) {
-                continue;
-            }
-            if let Some(resumes) = self.paused_until(i, at) {
-                self.add(resumes, event);
-                continue;
-            }
-            let mut actions = Vec::new();
-            let Some(member) = self.members.get_mut(i) else { continue };
-            match event {
-                Event::Turn(_) => {
-                    member.turn(at, &mut actions);
-                    if self.faults.leaves.iter().any(|(l, t)| *l == i && *t <= at) {
-                        member.leave(&mut actions);
-                        self.running.get_mut(i).into_iter().for_each(|r| *r = false);
-                    }
-                    self.add(at + TURN, Event::Turn(i));
-                }
-                Event::Deliver(_, message) => {
-                    member.hear(at, &message, &mut actions).map_err(|e| e.to_string())?;
-                }
-            }
-            for action in actions {
-                self.carry_out(i, action);
+            self.events += 1;
+            if self.handle(at, event)? {
+                step(self)?;
             }
-            step(self)?;
         }
         self.now = until;
         Ok(())
     }
 
+    /// Handles an event; false: nobody was there to see it yet, or any more.
+    fn handle(&mut self, at: Micros, event: Event) -> Result<bool, String> {
+        let i = match &event {
+            Event::Deliver(to, _) | Event::Turn(to) => *to,
+        };
+        if self.faults.died(i, at) {
+            self.running.get_mut(i).into_iter().for_each(|r| *r = false);
+        }
+        if !self.runs(i) {
+            return Ok(false);
+        }
+        if let Some(resumes) = self.faults.paused_until(i, at) {
+            self.add(resumes, event);
+            return Ok(false);
+        }
+        let mut actions = Vec::new();
+        let Some(member) = self.members.get_mut(i) else { return Ok(false) };
+        let began = thread_time();
+        let heard = match &event {
+            Event::Turn(_) => {
+                member.turn(at, &mut actions);
+                Ok(())
+            }
+            Event::Deliver(_, message) => member.hear(at, message, &mut actions),
+        };
+        self.core_time += thread_time().saturating_sub(began);
+        heard.map_err(|e| e.to_string())?;
+        if matches!(event, Event::Turn(_)) {
+            if self.faults.left(i, at) {
+                member.leave(&mut actions);
+                self.running.get_mut(i).into_iter().for_each(|r| *r = false);
+            }
+            self.add(at + TURN, event);
+        }
+        for action in actions {
+            self.carry_out(i, action);
+        }
+        Ok(true)
+    }
+
     fn carry_out(&mut self, i: usize, action: Action) {
         match action {
             Action::Send(to, message) => {
-                let size = postcard::to_stdvec(&message).map_or(0, |b| b.len()) as u64;
+                let size = postcard::experimental::serialized_size(&message).unwrap_or(0) as u64;
                 if self.now >= self.measured_from {
                     self.sent.get_mut(i).into_iter().for_each(|s| *s = (s.0 + size + HEADER, s.1 + 1));
                 }
                 let (to, now) = (index(to), self.now);
-                let hit =
-                    |c: &Cut| (c.begin..c.end).contains(&now) && c.from.contains(&i) && c.to.contains(&to);
-                let lost = (self.rng.next_u64() as f64 / u64::MAX as f64) < self.faults.loss;
-                let late = if self.faults.jitter > 0 { self.rng.next_u64() % self.faults.jitter } else { 0 };
-                if to < self.members.len() && !lost && !self.faults.cuts.iter().any(hit) {
-                    self.add(now + 1_000 + late, Event::Deliver(to, message));
+                let plan = self.faults.plan();
+                let lost = (self.rng.next_u64() as f64 / u64::MAX as f64) < plan.loss;
+                let late = if plan.jitter > 0 { self.rng.next_u64() % plan.jitter } else { 0 };
+                if to < self.members.len() && !lost && !self.faults.is_cut(i, to, now) {
+                    self.add(now + 1_000 + late, Event::Deliver(to, Box::new(message)));
                 }
             }
             Action::Changed(of, state) => {
-                self.seen.push(Seen { at: self.now, by: i, of: number(&of), state });
+                let of = number(&of);
+                self.false_declarations += u64::from(state == State::Dead && self.runs_in_view(i, of));
+                if self.records {
+                    self.seen.push(Seen { at: self.now, by: i, of, state });
+                }
             }
-            Action::Link(of, cut) => self.links.push((self.now, i, number(&of), cut)),
-            Action::Superseded | Action::Full(_) => {}
+            Action::Link(of, cut) if self.records => self.links.push((self.now, i, number(&of), cut)),
+            Action::Link(..) | Action::Superseded | Action::Full(_) => {}
         }
     }
 
     /// From now on this happens, and nothing that was to come before.
     pub fn set_faults(&mut self, faults: FaultPlan) {
-        self.faults = faults;
+        self.faults = FaultIndex::new(faults, self.members.len());
     }
 
     /// Those that stood still go on now: what waited for them comes at once.
     pub fn wake(&mut self) {
-        let far: Vec<u64> = self
-            .queue
-            .iter()
-            .filter(|Reverse((at, _))| *at > self.now + 10 * S)
-            .map(|Reverse((_, id))| *id)
-            .collect();
-        let mut queue: Vec<Reverse<(Micros, u64)>> = std::mem::take(&mut self.queue).into_vec();
-        queue.retain(|Reverse((_, id))| !far.contains(id));
-        queue.extend(far.into_iter().map(|id| Reverse((self.now + 1, id))));
-        self.queue = queue.into();
+        self.queue.hasten(self.now + 10 * S, self.now + 1);
     }
 
     /// A process of that number starts anew, as a new life of its name, knowing only the seeds.
@@ -297,9 +321,25 @@
         }
     }
 
+    /// A process ends without a word, now.
+    pub fn kill(&mut self, i: usize) {
+        self.running.get_mut(i).into_iter().for_each(|r| *r = false);
+    }
+
+    /// A process says that it leaves, and ends, now.
+    pub fn leave(&mut self, i: usize) {
+        let mut actions = Vec::new();
+        let Some(member) = self.members.get_mut(i) else { return };
+        member.leave(&mut actions);
+        self.kill(i);
+        for action in actions {
+            self.carry_out(i, action);
+        }
+    }
+
     /// A message reaches a member, whoever sent it.
     pub fn inject(&mut self, to: usize, message: Message) {
-        self.add(self.now, Event::Deliver(to, message));
+        self.add(self.now, Event::Deliver(to, Box::new(message)));
     }
 
     /// The time.
@@ -311,8 +351,7 @@
     /// Deaths told of members that run, and of none other.
     #[must_use]
     pub fn false_deaths(&self) -> usize {
-        let died = |of: usize, at: Micros| self.faults.deaths.iter().any(|(d, t)| *d == of && *t <= at);
-        self.seen.iter().filter(|s| s.state == State::Dead && !died(s.of, s.at)).count()
+        self.seen.iter().filter(|s| s.state == State::Dead && !self.faults.died(s.of, s.at)).count()
     }
 
     /// How long after a death the last that runs held it for dead; `None`: one does not yet.
--- /dev/null
+++ b/tools/simulator/src/queue.rs
@@ -0,0 +1,70 @@
+//! Events in the order of their times, and in the order in which they were added where times are equal.
+
+use std::cmp::Ordering;
+use std::collections::BinaryHeap;
+
+use violetgate_membership::Micros;
+
+#[derive(Debug, Clone)]
+struct Entry<E> {
+    at: Micros,
+    number: u64,
+    event: E,
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl<E> Eq for Entry<E> {}
+
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Entry<E> {
+    /// The earliest is the greatest: the heap gives the greatest first.
+    fn cmp(&self, other: &Self) -> Ordering {
+        (other.at, other.number).cmp(&(self.at, self.number))
+    }
+}
+
+/// The events to come.
+#[derive(Debug, Clone)]
+pub(crate) struct EventQueue<E> {
+    heap: BinaryHeap<Entry<E>>,
+    next_number: u64,
+}
+
+impl<E> Default for EventQueue<E> {
+    fn default() -> Self {
+        EventQueue { heap: BinaryHeap::new(), next_number: 0 }
+    }
+}
+
+impl<E> EventQueue<E> {
+    /// Adds an event.
+    pub fn push(&mut self, at: Micros, event: E) {
+        self.heap.push(Entry { at, number: self.next_number, event });
+        self.next_number += 1;
+    }
+
+    /// The next event, if it comes by then.
+    pub fn pop_until(&mut self, until: Micros) -> Option<(Micros, E)> {
+        if self.heap.peek().is_none_or(|entry| entry.at > until) {
+            return None;
+        }
+        self.heap.pop().map(|entry| (entry.at, entry.event))
+    }
+
+    /// What was to come after a time comes at another, in the order in which it was added.
+    pub fn hasten(&mut self, after: Micros, to: Micros) {
+        let mut entries = std::mem::take(&mut self.heap).into_vec();
+        entries.iter_mut().filter(|entry| entry.at > after).for_each(|entry| entry.at = to);
+        self.heap = entries.into();
+    }
+}
