Compare views by buckets of names, so that the cost follows the difference

Change: Compare is answered with 256 sums (Sums), the buckets that differ are asked for in both directions (Want) and come in pieces (Piece), within 8,000 bytes a second; the dead are knocked at about 8 times a second by all together; a claim that others have told counts as told. Older builds read all they are sent, and are sent Tell as before. Up to 16,384 members are known. Two mutants: a bucket that is never asked for, a piece that is taken whatever is known.

The model with mutants passes, unchanged.

--- a/fleet/membership/src/claim.rs
+++ b/fleet/membership/src/claim.rs
@@ -50,6 +50,12 @@
         (self.life, self.state == State::Left, self.turn, self.state)
     }
 
+    /// At most so many bytes it takes in a message.
+    pub(crate) fn most_bytes(&self) -> u64 {
+        const BESIDE_NAMES: usize = 42;
+        (self.name.len() + self.by.as_ref().map_or(0, |by| by.len()) + BESIDE_NAMES) as u64
+    }
+
     /// Whether it can be used at all: a peer may send anything.
     #[must_use]
     pub fn is_sound(&self) -> bool {
--- a/fleet/membership/src/digest.rs
+++ b/fleet/membership/src/digest.rs
@@ -43,6 +43,12 @@
         sum.into_iter().for_each(|sum| *sum = sum.wrapping_sub(digest_of(claim)));
     }
 
+    /// The lower half of each sum: two views differ in a bucket and show the same with a chance of one in 2^32.
+    #[must_use]
+    pub fn sums(&self) -> Vec<u32> {
+        self.0.iter().map(|sum| *sum as u32).collect()
+    }
+
     /// One number for all buckets.
     #[must_use]
     pub fn total(&self) -> u64 {
--- a/fleet/membership/src/handling.rs
+++ b/fleet/membership/src/handling.rs
@@ -8,12 +8,24 @@
 
 use crate::claim::{Claim, Name, State};
 use crate::membership::{Action, Membership, Mutant, Peer};
-use crate::message::{Body, Message, Unfit, MOST_CLAIMS};
+use crate::message::{Body, Message, Unfit};
 use crate::Micros;
 
 /// The most accusers that are kept of one suspicion.
 const MOST_ACCUSERS: usize = 8;
 
+/// Knocks that one dead member gets in a second from all others together, about.
+const KNOCKS_PER_S: usize = 8;
+
+/// How a claim has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Source {
+    /// It is being told on.
+    News,
+    /// It was asked for.
+    Exchange,
+}
+
 impl Membership {
     /// Takes a message. Answers go to where its sender says that it is reached, not to where a datagram came from: what
     /// stands between may show another address.
@@ -28,8 +40,12 @@
             return Ok(());
         }
         let (name, from) = (Name::clone(&sender.name), sender.addr);
-        for claim in &message.claims {
-            self.merge(claim.clone(), actions);
+        let source = if matches!(message.body, Body::Piece) { Source::Exchange } else { Source::News };
+        // What the sender says of itself is always news.
+        for (claim, source) in
+            message.claims.iter().zip(std::iter::once(Source::News).chain(std::iter::repeat(source)))
+        {
+            self.merge(claim.clone(), source, actions);
         }
         if name == self.own.name {
             return Ok(());
@@ -41,7 +57,7 @@
         if p.on_rings() {
             p.heard = self.now;
             self.woken.iter_mut().for_each(|(_, heard)| _ = heard.insert(Name::clone(&name)));
-        } else if !matches!(message.body, Body::Ack(_) | Body::Tell) {
+        } else if !matches!(message.body, Body::Ack(_) | Body::Tell | Body::Piece) {
             // It does not know that it is taken for dead, and has to, to refute.
             let told = Some(Claim::clone(&p.claim));
             let message = self.message(Body::Tell, told);
@@ -56,8 +72,10 @@
             Body::Ack(seq) => self.answered(*seq, actions),
             Body::PingFor(seq, target, at) => self.help(from, *seq, Name::clone(target), *at, actions),
             Body::AckFor(seq, _) => self.answered_others(*seq),
-            Body::Compare(theirs) if *theirs != self.digest() => self.tell_all(from, actions),
-            Body::Compare(_) | Body::Tell => {}
+            Body::Compare(theirs) => self.answer_comparison(message, *theirs, from, actions),
+            Body::Sums(theirs) => self.compare_sums(theirs, from, actions),
+            Body::Want(want) => self.answer_want(want, from, actions),
+            Body::Tell | Body::Piece => {}
         }
         Ok(())
     }
@@ -72,7 +90,7 @@
     }
 
     /// Takes a claim. The same claims give the same view in any order.
-    pub(crate) fn merge(&mut self, claim: Claim, actions: &mut Vec<Action>) {
+    pub(crate) fn merge(&mut self, claim: Claim, source: Source, actions: &mut Vec<Action>) {
         if claim.name == self.own.name {
             return self.heard_of_self(&claim, actions);
         }
@@ -85,6 +103,10 @@
         let same = old.is_some_and(|p| p.claim.rank() == claim.rank());
         if same {
             // Another that has no answer either.
+            if claim.state == State::Alive {
+                let times = self.times_told();
+                return self.spread.heard(&claim, times);
+            }
             let Some(p) = self.peers.get_mut(&claim.name) else { return };
             let room = p.accusers.len() < MOST_ACCUSERS;
             if room && claim.by.clone().is_some_and(|by| p.accusers.insert(by)) {
@@ -94,7 +116,8 @@
         }
         let alive = claim.state == State::Alive;
         let any = (alive && self.mutated(Mutant::AnyTurn) && old.is_some_and(|p| p.claim.life == claim.life))
-            || (alive && self.mutated(Mutant::AnyLife));
+            || (alive && self.mutated(Mutant::AnyLife))
+            || (source == Source::Exchange && self.mutated(Mutant::AnyPiece));
         if !any && old.is_some_and(|p| p.claim.rank() > claim.rank()) {
             return;
         }
@@ -120,6 +143,8 @@
             claim: Arc::new(claim.clone()),
         };
         let (was, is) = (old.is_some_and(Peer::on_rings), peer.on_rings());
+        // Whoever sent a piece knew of the member, and so do others; a change of one that was known here is news.
+        let news = source == Source::News || old.is_some();
         self.peers.insert(peer);
         if was != is {
             if is {
@@ -132,7 +157,9 @@
         if changed {
             actions.push(Action::Changed(Name::clone(&name), claim.state));
         }
-        self.spread.push(claim);
+        if news {
+            self.spread.push(claim);
+        }
     }
 
     /// What others say of this member: a newer life of its name ends it; a suspicion or a death is refuted.
@@ -172,29 +199,6 @@
         }
     }
 
-    /// Now and then two compare their whole views: what news has missed comes that way.
-    pub(crate) fn compare(&mut self, actions: &mut Vec<Action>) {
-        if self.now < self.next_exchange {
-            return;
-        }
-        self.next_exchange =
-            self.now + self.manner.exchange_every / 2 + self.rng.next_u64() % self.manner.exchange_every;
-        let digest = self.digest();
-        for addr in self.some(1, &self.own.name.clone()) {
-            let message = self.message(Body::Compare(digest), None);
-            actions.push(Action::Send(addr, message));
-        }
-    }
-
-    /// The whole view, in as many messages as it takes.
-    fn tell_all(&mut self, to: SocketAddr, actions: &mut Vec<Action>) {
-        let all: Vec<Claim> = self.peers.values().map(|p| Claim::clone(&p.claim)).collect();
-        for part in all.chunks(MOST_CLAIMS - 1) {
-            let claims = std::iter::once(self.own.clone()).chain(part.iter().cloned()).collect();
-            actions.push(Action::Send(to, Message { body: Body::Tell, claims }));
-        }
-    }
-
     /// One of the dead is asked now and then whether it is: a split heals that way. So is a seed, while nobody is
     /// known.
     pub(crate) fn knock(&mut self, actions: &mut Vec<Action>) {
@@ -205,12 +209,17 @@
         let dead = self.peers.gone().filter(|p| p.claim.state == State::Dead).map(|p| p.claim.addr);
         let mut doors: Vec<SocketAddr> = dead.collect();
         doors.extend(self.unknown_seeds());
-        let digest = self.digest();
-        for _ in 0..2.min(doors.len()) {
+        let mut count = doors.len().min(2);
+        let (enough, all) = (KNOCKS_PER_S * doors.len(), count * self.peers.serving());
+        // In a large fleet most members leave it to others: one that is back is not to be flooded.
+        if enough < all && self.rng.next_u64() % all as u64 >= enough as u64 {
+            count = 0;
+        }
+        for _ in 0..count {
             let at = (self.rng.next_u64() % doors.len() as u64) as usize;
             let addr = doors.swap_remove(at);
             let told = self.peers.gone().find(|p| p.claim.addr == addr).map(|p| Claim::clone(&p.claim));
-            let message = self.message(Body::Compare(digest), told);
+            let message = self.comparison(told);
             actions.push(Action::Send(addr, message));
         }
     }
--- a/fleet/membership/src/lib.rs
+++ b/fleet/membership/src/lib.rs
@@ -1,4 +1,4 @@
-//! Who of the front ends is alive, as each of them sees it, for up to a thousand of them and apart from the few that
+//! Who of the front ends is alive, as each of them sees it, for up to some thousands of them and apart from the few that
 //! agree on state. [`Membership`] takes messages and the time and gives messages and changes of the view; it does no
 //! I/O, keeps no clock and draws from a seed. [`Shares`] makes of the view the count that decisions reckon with.
 //!
@@ -8,6 +8,7 @@
 
 mod claim;
 mod digest;
+mod exchange;
 mod handling;
 mod membership;
 mod message;
@@ -18,10 +19,11 @@
 mod table;
 
 pub use claim::{place, Claim, Name, State, LONGEST_NAME};
+pub use digest::{bucket_of, BUCKETS};
 #[doc(hidden)]
 pub use membership::Mutant;
 pub use membership::{Action, Manner, Member, Membership};
-pub use message::{Body, Message, Unfit, MOST_CLAIMS};
+pub use message::{Body, BucketSet, Message, Unfit, ViewSums, Want, MOST_CLAIMS};
 pub use rings::Rings;
 pub use shares::{Manner as ShareManner, Shares};
 
--- a/fleet/membership/src/membership.rs
+++ b/fleet/membership/src/membership.rs
@@ -10,6 +10,7 @@
 
 use crate::claim::{Claim, Name, State};
 use crate::digest::BucketDigests;
+use crate::exchange::Exchange;
 use crate::message::Message;
 use crate::probing::{Helped, Probe};
 use crate::rings::Rings;
@@ -33,6 +34,10 @@
     LoneJudge,
     /// A member that hears of its death does not refute it.
     NoRefutation,
+    /// One of the buckets that differ is never asked for.
+    BlindBucket,
+    /// A piece that was asked for is taken whatever is known already.
+    AnyPiece,
 }
 
 /// How a member behaves. The same everywhere, or the slowest decides how soon a death is told.
@@ -54,6 +59,8 @@
     pub fanout: usize,
     /// Time between two comparisons of whole views.
     pub exchange_every: Micros,
+    /// Bytes a second that a member may send to make differing views the same.
+    pub exchange_bytes_per_s: u64,
     /// How long the dead and those that left are remembered, and how long dead ones are knocked at.
     pub forget: Micros,
     /// The most members that are known, dead ones too.
@@ -74,8 +81,9 @@
             spread_every: 100_000,
             fanout: 3,
             exchange_every: 5_000_000,
+            exchange_bytes_per_s: 8_000,
             forget: 600_000_000,
-            most: 4_000,
+            most: 16_384,
             #[cfg(feature = "mutants")]
             mutant: None,
         }
@@ -166,6 +174,7 @@
     pub(crate) spread: Spread,
     pub(crate) next_spread: Micros,
     pub(crate) next_exchange: Micros,
+    pub(crate) exchange: Exchange,
     pub(crate) next_knock: Micros,
     pub(crate) next_forget: Micros,
     pub(crate) superseded: bool,
@@ -184,6 +193,7 @@
     ) -> Self {
         let mut rings = Rings::new(manner.rings.max(1));
         rings.add(&name);
+        let exchange = Exchange::new(manner.exchange_bytes_per_s);
         let own = Claim { name, addr, life, turn: 0, state: State::Alive, by: None };
         Membership {
             manner,
@@ -203,6 +213,7 @@
             spread: Spread::default(),
             next_spread: 0,
             next_exchange: 0,
+            exchange,
             next_knock: 0,
             next_forget: 0,
             superseded: false,
@@ -296,6 +307,12 @@
         self.spread.dropped
     }
 
+    /// Comparisons and requests of others that were not answered, as the budget was spent or too many were at work.
+    #[must_use]
+    pub fn exchanges_dropped(&self) -> u64 {
+        self.exchange.dropped
+    }
+
     /// A number that two views share if they hold the same.
     #[must_use]
     pub fn digest(&self) -> u64 {
--- a/fleet/membership/src/probing.rs
+++ b/fleet/membership/src/probing.rs
@@ -7,6 +7,7 @@
 use rand_chacha::rand_core::RngCore;
 
 use crate::claim::{Claim, Name, State};
+use crate::handling::Source;
 use crate::membership::{Action, Membership, Mutant};
 use crate::message::{Body, Message, MOST_CLAIMS};
 use crate::Micros;
@@ -58,6 +59,7 @@
         self.knock(actions);
         self.tell(actions);
         self.compare(actions);
+        self.send_pieces(actions);
         self.forget();
     }
 
@@ -86,9 +88,8 @@
         self.watched.get_or_insert_with(|| rings.watched_by(own)).clone()
     }
 
-    pub(crate) fn message(&mut self, body: Body, more: Option<Claim>) -> Message {
-        let known = self.peers.len() as f64 + 2.0;
-        let times = (3.0 * known.log2()).ceil() as u32;
+    pub(crate) fn message(&mut self, body: Body, more: impl IntoIterator<Item = Claim>) -> Message {
+        let times = self.times_told();
         let mut claims = vec![self.own.clone()];
         claims.extend(more);
         let room = MOST_CLAIMS - claims.len();
@@ -96,6 +97,12 @@
         Message { body, claims }
     }
 
+    /// How often a claim is told before it is old news.
+    pub(crate) fn times_told(&self) -> u32 {
+        let known = self.peers.len() as f64 + 2.0;
+        (3.0 * known.log2()).ceil() as u32
+    }
+
     /// What one that is suspected, or taken for dead, is told with each ping and answer: it can only refute what it hears.
     pub(crate) fn doubted(&self, name: &Name) -> Option<Claim> {
         self.peers.get(name).filter(|p| p.claim.state != State::Alive).map(|p| Claim::clone(&p.claim))
@@ -168,7 +175,7 @@
             return self.set_cut(&probe.target, true, actions);
         }
         let claim = Claim { state: State::Suspect, by: Some(own), ..Claim::clone(&p.claim) };
-        self.merge(claim, actions);
+        self.merge(claim, Source::News, actions);
     }
 
     pub(crate) fn answered(&mut self, seq: u64, actions: &mut Vec<Action>) {
@@ -239,7 +246,7 @@
         };
         let dead: Vec<Claim> = self.peers.suspects().filter(dead).map(|p| Claim::clone(&p.claim)).collect();
         for claim in dead {
-            self.merge(Claim { state: State::Dead, by: None, ..claim }, actions);
+            self.merge(Claim { state: State::Dead, by: None, ..claim }, Source::News, actions);
         }
     }
 }
--- a/fleet/membership/src/spread.rs
+++ b/fleet/membership/src/spread.rs
@@ -9,6 +9,9 @@
 /// The most claims that wait to be told.
 const MOST: usize = 4_096;
 
+/// A claim that is heard from another counts as told so often.
+const HEARD_COUNTS: u32 = 3;
+
 /// Where a claim stands in the queue: the least told first, then deaths and suspicions, for which there is less time,
 /// then by age.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -64,6 +67,19 @@
         taken
     }
 
+    /// Another has told a claim: where it waits here, that counts as having told it some times, or a fleet that starts
+    /// at once would tell each of its members all names many times over.
+    pub fn heard(&mut self, claim: &Claim, times: u32) {
+        let positions = self.by_name.get(&claim.name).into_iter().flatten();
+        let same = |p: &&Position| self.queue.get(*p).is_some_and(|queued| queued == claim);
+        let Some(position) = positions.copied().find(|p| same(&p)) else { return };
+        self.remove(position);
+        let told = position.told + HEARD_COUNTS;
+        if told < times {
+            self.add(claim.clone(), told);
+        }
+    }
+
     fn add(&mut self, claim: Claim, told: u32) {
         let position = Position { told, alive: claim.state == State::Alive, number: self.next_number };
         self.next_number += 1;
