--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks. `make run` needs PROXY_CONFIG, see README.md.
-.PHONY: build test lint run ci prove-rest prove-daemon prove-run prove-membership prove-fleet prove-fleet-rules gate
+.PHONY: build test lint run ci prove-rest prove-daemon prove-run prove-membership prove-fleet prove-fleet-rules prove-scale gate
 
 # Proofs measure for a while and hold the program to bounds; arguments by ARGS="--requests 100000".
 ARGS ?=
@@ -32,6 +32,11 @@
 	cargo build --locked --release --workspace
 	target/release/prove-fleet-rules $(ARGS)
 
+# What each role costs by size, and a whole fleet of hollow front ends; ARGS="--short", ARGS="--only membership".
+prove-scale:
+	cargo build --locked --release --workspace
+	target/release/prove-scale $(ARGS)
+
 # What the regression gate plays next, and what it found last, on both deployments in turn.
 gate:
 	@tools/gate
--- a/tools/scale/src/bin/prove-scale.rs
+++ b/tools/scale/src/bin/prove-scale.rs
@@ -5,7 +5,7 @@
 
 use clap::builder::PossibleValuesParser;
 use clap::Parser;
-use violetgate_scale::{agreed_state, client_side, decisions, engine_list, engine_side, page};
+use violetgate_scale::{agreed_state, client_side, decisions, engine_list, engine_side, membership, page};
 use violetgate_scale::{Figures, Options, ScaleError};
 
 /// Where random numbers begin unless the command line says otherwise.
@@ -24,8 +24,13 @@
     Role { name: "client-side", measure: client_side::measure },
     Role { name: "engine-side", measure: engine_side::measure },
     Role { name: "agreed-state", measure: agreed_state::measure },
+    Role { name: "membership", measure: measure_membership },
 ];
 
+fn measure_membership(options: &Options, figures: &mut Figures) -> Result<(), ScaleError> {
+    Ok(membership::measure(options, figures)?)
+}
+
 /// Measures what each role costs by size, fits it, and prints the size at which each passes its budget
 #[derive(Debug, Parser)]
 struct Arguments {
--- a/tools/scale/src/error.rs
+++ b/tools/scale/src/error.rs
@@ -49,6 +49,9 @@
     /// A thread of the test ended early.
     #[error("the thread {0} of the test ended early; its message is printed above")]
     Thread(&'static str),
+    /// Membership could not be measured.
+    #[error(transparent)]
+    Membership(#[from] crate::membership::MembershipError),
     /// The page or the saved figures can't be used.
     #[error("{file}: {reason}")]
     Page {
