Open the control plane's constructors to scale tests, and count its bytes

Hollow front ends run the control plane of serve, but its modules were private, and neither the bus client nor the fleet's link counted bytes. violetgate::control re-exports the constructors; bus and link count bytes sent and received, shown as svc_bus_* and svc_fleet_*_bytes_total. The stand-in bus wakes its followers by an event: one timer each 5 ms a follower would be 1.5 million wakes a second at 7,600.

--- a/fleet/link/src/lib.rs
+++ b/fleet/link/src/lib.rs
@@ -81,6 +81,9 @@
     /// Datagrams turned away, and those that the socket did not take.
     turned_away: Cell<u64>,
     unsent: Cell<u64>,
+    /// Bytes of datagrams sent and received.
+    sent_bytes: Cell<u64>,
+    received_bytes: Cell<u64>,
 }
 
 impl Link {
@@ -114,6 +117,8 @@
             told: RefCell::default(),
             turned_away: Cell::new(0),
             unsent: Cell::new(0),
+            sent_bytes: Cell::new(0),
+            received_bytes: Cell::new(0),
         });
         if waits {
             (link.tell)(News::Waits(listen));
@@ -152,6 +157,12 @@
         (self.turned_away.get(), self.unsent.get())
     }
 
+    /// Bytes of datagrams sent and received since the start.
+    #[must_use]
+    pub fn traffic(&self) -> (u64, u64) {
+        (self.sent_bytes.get(), self.received_bytes.get())
+    }
+
     /// Says that this member leaves, as its process ends.
     pub fn leave(&self) {
         let mut actions = Vec::new();
@@ -198,6 +209,7 @@
                 futures_lite::future::yield_now().await;
                 continue;
             };
+            self.received_bytes.set(self.received_bytes.get() + size as u64);
             self.take(buffer.get(..size).unwrap_or_default(), from);
             burst += 1;
             if burst % BURST == 0 {
@@ -237,8 +249,9 @@
                 Action::Send(to, message) => {
                     let bytes = frame::write(&self.fleet, &message);
                     let sent = bytes.zip(socket.as_ref());
-                    let sent = sent.is_some_and(|(b, s)| s.get_ref().send_to(&b, to).is_ok());
-                    self.unsent.set(self.unsent.get() + u64::from(!sent));
+                    let sent = sent.and_then(|(b, s)| s.get_ref().send_to(&b, to).ok());
+                    self.sent_bytes.set(self.sent_bytes.get() + sent.unwrap_or(0) as u64);
+                    self.unsent.set(self.unsent.get() + u64::from(sent.is_none()));
                 }
                 Action::Changed(name, state) => (self.tell)(News::Member(name, state)),
                 Action::Link(name, cut) => (self.tell)(News::Link(name, cut)),
--- a/tools/rig/src/lib.rs
+++ b/tools/rig/src/lib.rs
@@ -25,7 +25,8 @@
     pub name: String,
     /// Where PostgreSQL clients connect.
     pub listen: SocketAddr,
-    management: SocketAddr,
+    /// Where operators call.
+    pub management: SocketAddr,
     folder: PathBuf,
     program: PathBuf,
     child: Option<Child>,
@@ -40,6 +41,31 @@
 }
 
 impl Process {
+    /// A process that was not started yet; `folder` holds its `violetgate.hcl` and `config.json`.
+    #[must_use]
+    pub fn new(
+        name: &str,
+        listen: SocketAddr,
+        management: SocketAddr,
+        folder: PathBuf,
+        program: &Path,
+    ) -> Self {
+        let program = program.to_path_buf();
+        Process { name: name.to_owned(), listen, management, folder, program, child: None, crashed: 0 }
+    }
+
+    /// Its process id, while it runs.
+    #[must_use]
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Its log so far.
+    #[must_use]
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.folder.join("log")).unwrap_or_default()
+    }
+
     /// Starts it, or starts it again.
     ///
     /// # Errors
@@ -127,8 +153,7 @@
     /// Lines of its log so far that hold a text.
     #[must_use]
     pub fn said(&self, text: &str) -> usize {
-        let log = std::fs::read_to_string(self.folder.join("log")).unwrap_or_default();
-        log.lines().filter(|l| l.contains(text)).count()
+        self.log().lines().filter(|l| l.contains(text)).count()
     }
 
     /// One query; whether it was served.
@@ -200,9 +225,7 @@
                 seeds.join(", ")
             );
             std::fs::write(own.join("violetgate.hcl"), block)?;
-            let program = program.to_path_buf();
-            let mut process =
-                Process { name, listen, management, folder: own, program, child: None, crashed: 0 };
+            let mut process = Process::new(&name, listen, management, own, program);
             process.start()?;
             all.push(process);
         }
--- a/tools/standin/src/bus.rs
+++ b/tools/standin/src/bus.rs
@@ -7,18 +7,19 @@
 
 use async_executor::Executor;
 use async_io::{Async, Timer};
+use event_listener::Event;
 use futures_lite::FutureExt;
 use serde_json::{json, Value};
 
 use crate::lock;
 
 const BEAT: Duration = Duration::from_secs(1);
-/// How soon a new event is passed on.
-const LOOK: Duration = Duration::from_millis(5);
 
 pub(crate) struct Bus {
     pub addr: SocketAddr,
     state: Mutex<State>,
+    /// Followers wait on it: thousands of them cost nothing while nothing happens.
+    changed: Event,
 }
 
 #[derive(Default)]
@@ -32,7 +33,11 @@
 impl Bus {
     pub fn start(executor: &Arc<Executor<'static>>) -> std::io::Result<Arc<Self>> {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
-        let bus = Arc::new(Bus { addr: listener.get_ref().local_addr()?, state: Mutex::default() });
+        let bus = Arc::new(Bus {
+            addr: listener.get_ref().local_addr()?,
+            state: Mutex::default(),
+            changed: Event::new(),
+        });
         let (serving, on) = (Arc::clone(&bus), Arc::clone(executor));
         executor
             .spawn(async move {
@@ -63,6 +68,8 @@
         let offset = state.events.len() + 1;
         let topology = json!({"version": offset, "full": full, "servers": servers});
         state.events.push(json!({"offset": offset, "topology": topology}));
+        drop(state);
+        self.changed.notify(usize::MAX);
     }
 
     pub fn break_off(&self) {
@@ -74,6 +81,7 @@
     /// Every watch that is open now says nothing more, and stays open; new ones are as ever.
     pub fn mute(&self) {
         lock(&self.state).muted += 1;
+        self.changed.notify(usize::MAX);
     }
 
     async fn follow(&self, stream: &Async<TcpStream>) -> std::io::Result<()> {
@@ -91,6 +99,7 @@
         let Some(mut next) = from else { return Ok(()) };
         let mut beat = Timer::after(BEAT);
         loop {
+            let changed = self.changed.listen();
             if lock(&self.state).muted > born {
                 while stream.read_with(|mut s| s.read(&mut byte)).await? > 0 {}
                 return Ok(());
@@ -101,15 +110,15 @@
                 self.write(stream, line.as_bytes()).await?;
                 next += 1;
             }
-            let look = async {
-                Timer::after(LOOK).await;
+            let news = async {
+                changed.await;
                 false
             };
             let due = async {
                 (&mut beat).await;
                 true
             };
-            if look.or(due).await {
+            if news.or(due).await {
                 self.write(stream, format!("{next}\n").as_bytes()).await?;
                 beat = Timer::after(BEAT);
             }
--- a/violetgate/src/bus.rs
+++ b/violetgate/src/bus.rs
@@ -74,6 +74,8 @@
 pub struct Place {
     addr: Cell<SocketAddr>,
     heard: Cell<bool>,
+    /// Bytes sent to the bus and received from it.
+    traffic: Cell<(u64, u64)>,
     /// What the bus told, where somebody keeps it; and what was kept, to begin with while the bus tells nothing.
     held: Option<RefCell<Held>>,
     offered: RefCell<Option<Held>>,
@@ -87,6 +89,7 @@
         Place {
             addr: Cell::new(addr),
             heard: Cell::new(false),
+            traffic: Cell::default(),
             held: keeps.then(RefCell::default),
             offered: RefCell::default(),
             waker: RefCell::default(),
@@ -142,6 +145,22 @@
         self.heard.get()
     }
 
+    /// Bytes sent to the bus and received from it since the start.
+    #[must_use]
+    pub fn traffic(&self) -> (u64, u64) {
+        self.traffic.get()
+    }
+
+    fn count_sent(&self, bytes: usize) {
+        let (sent, received) = self.traffic.get();
+        self.traffic.set((sent + bytes as u64, received));
+    }
+
+    fn count_received(&self, bytes: usize) {
+        let (sent, received) = self.traffic.get();
+        self.traffic.set((sent, received + bytes as u64));
+    }
+
     async fn moved_from(&self, addr: SocketAddr) {
         poll_fn(|cx| {
             if self.addr.get() != addr {
@@ -266,7 +285,7 @@
         let hello = format!("from {}\n", self.last);
         // A few bytes on a fresh connection: the socket takes them at once or not at all.
         match stream.write_with(|mut s| s.write(hello.as_bytes())).or(late(CONNECT)).await {
-            Ok(n) if n == hello.len() => {}
+            Ok(n) if n == hello.len() => place.count_sent(n),
             Ok(_) => return "write".to_owned(),
             Err(e) => return reason(&e, "write"),
         }
@@ -277,7 +296,10 @@
             let left = quiet_by.saturating_duration_since(Instant::now());
             match stream.read_with(|mut s| s.read(&mut chunk)).or(late(left)).await {
                 Ok(0) => return "closed".to_owned(),
-                Ok(n) => buffer.extend_from_slice(chunk.get(..n).unwrap_or_default()),
+                Ok(n) => {
+                    place.count_received(n);
+                    buffer.extend_from_slice(chunk.get(..n).unwrap_or_default());
+                }
                 Err(e) => return reason(&e, "read"),
             }
             let mut used = 0;
--- a/violetgate/src/fleet.rs
+++ b/violetgate/src/fleet.rs
@@ -99,6 +99,18 @@
         self.link.leave();
     }
 
+    /// Bytes of datagrams sent and received since the start.
+    #[must_use]
+    pub fn traffic(&self) -> (u64, u64) {
+        self.link.traffic()
+    }
+
+    /// How many front ends this one sees, itself included.
+    #[must_use]
+    pub fn share(&self) -> u32 {
+        self.link.share()
+    }
+
     /// The figures, in the text format of Prometheus.
     #[must_use]
     pub fn figures(&self) -> String {
@@ -107,6 +119,8 @@
         let _ = writeln!(out, "svc_fleet_doubts_itself {}", u8::from(self.link.doubts_itself()));
         let (turned_away, unsent) = self.link.losses();
         let _ = writeln!(out, "svc_fleet_turned_away_total {turned_away}\nsvc_fleet_unsent_total {unsent}");
+        let (sent, received) = self.traffic();
+        let _ = writeln!(out, "svc_fleet_sent_bytes_total {sent}\nsvc_fleet_received_bytes_total {received}");
         for Member { name, addr, state, since, cut, .. } in self.link.members() {
             let age = now.saturating_sub(since) / 1_000_000;
             let labels = format!("member=\"{name}\",address=\"{addr}\"");
--- a/violetgate/src/lib.rs
+++ b/violetgate/src/lib.rs
@@ -10,6 +10,7 @@
 mod client;
 mod clock;
 mod config;
+pub mod control;
 mod ctl;
 mod daemon;
 mod demo;
--- a/violetgate/src/operations.rs
+++ b/violetgate/src/operations.rs
@@ -130,7 +130,10 @@
 
     fn figures(&self) -> String {
         let (known, skipped) = self.parts.dispatch.listed();
+        let (sent, received) = self.parts.place.traffic();
+        let bus = format!("svc_bus_sent_bytes_total {sent}\nsvc_bus_received_bytes_total {received}\n");
         self.parts.stats.text(known, skipped)
+            + &bus
             + &self.parts.rest.as_ref().map(|r| r.figures()).unwrap_or_default()
             + &self.parts.daemon.as_ref().map(|d| d.figures()).unwrap_or_default()
             + &self.parts.fleet.as_ref().map(|f| f.figures()).unwrap_or_default()
