--- /dev/null
+++ b/tools/scale/src/hollow/front_end.rs
@@ -0,0 +1,214 @@
+//! One hollow front end: the parts that `serve` puts together, on an executor of its own, as a process has one. Dropping
+//! it ends its sockets without a farewell, as a kill does.
+
+use std::cell::RefCell;
+use std::future::pending;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use async_executor::{LocalExecutor, Task};
+use linnetreach::interface::{EngineId, ListScope, QueryId};
+use violetgate::control::{Attempt, Bus, Clock, Config, Dispatch, Engines, Fence, Fleet, Ids, Listed, Place};
+use violetgate::settings::{self, Settings};
+use violetgate_consensus::NodeId;
+use violetgate_state::{Micros, Revision};
+
+use super::changes::{Faults, SeenChanges, Sequence};
+use super::process::Part;
+use super::report::Traffic;
+use super::HollowError;
+
+/// What all front ends of a process are made from.
+pub struct Template {
+    /// The platform's configuration, as text.
+    pub config: String,
+    /// The operators' settings.
+    pub settings: Settings,
+    /// The parts that run.
+    pub parts: Vec<Part>,
+    /// The clock of the process.
+    pub clock: Clock,
+    /// Where random numbers begin.
+    pub seed: u64,
+}
+
+impl Template {
+    /// How long state may be routed on after it was confirmed.
+    #[must_use]
+    pub fn drain_limit(&self) -> Micros {
+        2_000_000
+    }
+
+    fn runs(&self, part: Part) -> bool {
+        self.parts.contains(&part)
+    }
+}
+
+/// The engine side of a front end that has no engine connections: nothing is ever sent.
+struct NoEngines;
+
+impl Engines for NoEngines {
+    fn send(&self, _: Attempt) {}
+
+    fn cancel(&self, _: QueryId) -> bool {
+        false
+    }
+
+    fn recall(&self, _: QueryId) -> bool {
+        true
+    }
+
+    fn weigh(&self, _: QueryId, _: u8) {}
+
+    fn cordon(&self, _: EngineId, _: bool) {}
+
+    fn list(&self, _: ListScope, _: &[Listed]) {}
+}
+
+/// A front end that runs.
+pub struct FrontEnd {
+    driver: Option<Task<()>>,
+    seen: Rc<RefCell<SeenChanges>>,
+    place: Rc<Place>,
+    fleet: Option<Fleet>,
+    _dispatch: Rc<Dispatch>,
+    _executor: Rc<LocalExecutor<'static>>,
+}
+
+impl Drop for FrontEnd {
+    fn drop(&mut self) {
+        // No task runs any more before the parts go.
+        self.driver.take();
+    }
+}
+
+impl FrontEnd {
+    /// Starts a front end; `index` is its number in the whole run.
+    ///
+    /// # Errors
+    ///
+    /// The template can't be used, or a part can't have its address.
+    pub fn start(
+        process: &LocalExecutor<'static>,
+        template: &Template,
+        index: usize,
+    ) -> Result<Self, HollowError> {
+        let failed = |cause| HollowError::Start { index, cause };
+        let executor = Rc::new(LocalExecutor::new());
+        let name = format!("hollow-{index}");
+        let config = Config::parse(&template.config, None, None, Some(name.clone())).map_err(failed)?;
+        let seed = template.seed.wrapping_add(index as u64);
+        let gateways = config.settings.gateways.unwrap_or(1);
+        let clock = template.clock;
+        let fence: Option<Rc<dyn Fence>> = None;
+        let dispatch = Dispatch::new(clock, config.settings, seed, Rc::new(NoEngines), fence);
+        let fleet = match fleet_settings(template, index, name)? {
+            Some(given) => {
+                let fleet = Fleet::start(&executor, &given, clock, seed, gateways, &dispatch);
+                Some(fleet.map_err(failed)?)
+            }
+            None => None,
+        };
+        let place = Rc::new(Place::new(config.bus, false));
+        let mut bus = Bus::new(config.names, Rc::new(Ids::default()), Rc::clone(&place));
+        let news = template.runs(Part::Decisions).then(|| Rc::clone(&dispatch));
+        let mut tell = move |scope: ListScope, listed: &[Listed]| {
+            if let Some(dispatch) = &news {
+                dispatch.news(scope, listed);
+            }
+        };
+        bus.known(config.known.0, config.known.1, &mut tell);
+        if template.runs(Part::Bus) {
+            executor.spawn(async move { bus.follow(&mut tell).await }).detach();
+        }
+        if template.runs(Part::Decisions) {
+            let timers = Rc::clone(&dispatch);
+            executor.spawn(async move { timers.run_timers().await }).detach();
+        }
+        let own = Rc::clone(&executor);
+        let driver = process.spawn(async move { own.run(pending::<()>()).await });
+        Ok(FrontEnd {
+            driver: Some(driver),
+            seen: Rc::default(),
+            place,
+            fleet,
+            _dispatch: dispatch,
+            _executor: executor,
+        })
+    }
+
+    /// Bytes sent and received so far.
+    #[must_use]
+    pub fn traffic(&self) -> Traffic {
+        let sum = |(sent, received): (u64, u64)| sent + received;
+        Traffic {
+            subscription: 0,
+            bus: sum(self.place.traffic()),
+            membership: self.fleet.as_ref().map_or(0, |f| sum(f.traffic())),
+        }
+    }
+
+    /// Whether its gate is open: it may route.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        true
+    }
+
+    /// The revision of the state that it routes on.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.seen.borrow().revision()
+    }
+
+    /// The changes that it has seen.
+    #[must_use]
+    pub fn sequence(&self) -> Sequence {
+        self.seen.borrow().sequence()
+    }
+
+    /// What went wrong with changes.
+    #[must_use]
+    pub fn faults(&self) -> Faults {
+        self.seen.borrow().faults()
+    }
+
+    /// The observer that it watches.
+    #[must_use]
+    pub fn watches(&self) -> Option<NodeId> {
+        None
+    }
+
+    /// Whether the event bus has reached it.
+    #[must_use]
+    pub fn bus_heard(&self) -> bool {
+        self.place.heard()
+    }
+
+    /// How many front ends it reckons with.
+    #[must_use]
+    pub fn share(&self) -> Option<u32> {
+        self.fleet.as_ref().map(Fleet::share)
+    }
+}
+
+/// The template's `fleet` block as this front end has it: each has a name and a port of its own.
+fn fleet_settings(
+    template: &Template,
+    index: usize,
+    name: String,
+) -> Result<Option<settings::Fleet>, HollowError> {
+    if !template.runs(Part::Membership) {
+        return Ok(None);
+    }
+    let given = template.settings.fleet.clone();
+    let mut given = given.ok_or(HollowError::Missing { block: "fleet", part: "membership" })?;
+    let port = usize::from(given.listen.port()).saturating_add(index);
+    let port = u16::try_from(port).map_err(|_| HollowError::Start {
+        index,
+        cause: format!("port {port} for `fleet.listen` is too large: choose a lower first port"),
+    })?;
+    given.listen = SocketAddr::new(given.listen.ip(), port);
+    given.address = given.listen;
+    given.member = name;
+    Ok(Some(given))
+}
--- a/tools/scale/src/lib.rs
+++ b/tools/scale/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod fit;
 pub mod hollow;
 pub mod membership;
+pub mod whole_run;
 
 pub use figures::{Figures, Options};
