--- /dev/null
+++ b/tools/scale/tests/hollow_changes.rs
@@ -0,0 +1,154 @@
+//! The check of what one front end sees, on made-up state: in order, each change once, none missing.
+#![allow(missing_docs, clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+
+use violetgate_scale::hollow::changes::{key, transaction, Digest, Faults, SeenChanges, LATEST, WINDOW};
+use violetgate_state::{Entries, Revision};
+
+/// State as a front end holds it.
+#[derive(Default, Clone)]
+struct State {
+    revision: Revision,
+    entries: BTreeMap<String, (Revision, Vec<u8>)>,
+}
+
+impl Entries for State {
+    fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    fn entry(&self, key: &str) -> Option<(Revision, &[u8])> {
+        self.entries.get(key).map(|(revision, value)| (*revision, value.as_slice()))
+    }
+
+    fn entries_below(&self, prefix: &str) -> Vec<(String, Revision, Vec<u8>)> {
+        let below = self.entries.iter().filter(|(key, _)| key.starts_with(prefix));
+        below.map(|(key, (revision, value))| (key.clone(), *revision, value.clone())).collect()
+    }
+}
+
+impl State {
+    /// Makes a change as the API call does.
+    fn change(&mut self, number: u64) {
+        self.revision += 1;
+        for op in transaction(number)["then"].as_array().unwrap() {
+            if let Some(key) = op["put"].as_str() {
+                let value = op["value"].as_str().unwrap().as_bytes().to_vec();
+                self.entries.insert(key.to_owned(), (self.revision, value));
+            } else {
+                self.entries.remove(op["delete"].as_str().unwrap());
+            }
+        }
+    }
+
+    fn with_changes(numbers: impl IntoIterator<Item = u64>) -> Self {
+        let mut state = State::default();
+        numbers.into_iter().for_each(|number| state.change(number));
+        state
+    }
+}
+
+fn faults(lost: u64, doubled: u64, out_of_order: u64) -> Faults {
+    Faults { lost, doubled, out_of_order }
+}
+
+/// One by one, several at once and from a snapshot: the same changes, and the same digest from the same first one.
+#[test]
+fn changes_are_seen_however_they_come() {
+    let (mut single, mut batched) = (SeenChanges::default(), SeenChanges::default());
+    let mut state = State::default();
+    for number in 1..=20 {
+        state.change(number);
+        single.applied(&state);
+        if number == 1 || number % 7 == 0 || number == 20 {
+            batched.applied(&state);
+        }
+    }
+    assert_eq!(single.sequence(), batched.sequence());
+    assert_eq!((single.sequence().first, single.sequence().last), (1, 20));
+    assert_eq!((single.faults(), batched.faults()), (faults(0, 0, 0), faults(0, 0, 0)));
+    let mut expected = Digest::default();
+    (1..=20).for_each(|number| expected.add(number, number));
+    assert_eq!(single.sequence().digest, expected);
+}
+
+/// One that comes late begins with the oldest change that is kept.
+#[test]
+fn a_late_one_begins_with_what_is_kept() {
+    let state = State::with_changes(1..=WINDOW + 10);
+    let mut seen = SeenChanges::default();
+    seen.applied(&state);
+    assert_eq!((seen.sequence().first, seen.sequence().last), (11, WINDOW + 10));
+    assert_eq!(seen.faults(), faults(0, 0, 0));
+}
+
+/// State without any change, and other entries that change, are no fault.
+#[test]
+fn other_state_is_no_change() {
+    let mut seen = SeenChanges::default();
+    let mut state = State { revision: 3, ..State::default() };
+    seen.applied(&state);
+    assert_eq!((seen.sequence().first, seen.revision()), (0, 3));
+    state.change(1);
+    seen.applied(&state);
+    state.revision += 1;
+    seen.applied(&state);
+    assert_eq!((seen.sequence().last, seen.revision(), seen.faults()), (1, 5, faults(0, 0, 0)));
+}
+
+/// A change whose key never comes is lost, each one counted.
+#[test]
+fn a_missing_change_is_lost() {
+    let mut seen = SeenChanges::default();
+    let mut state = State::with_changes(1..=2);
+    seen.applied(&state);
+    state.change(3);
+    state.change(4);
+    state.change(5);
+    state.entries.remove(&key(3));
+    state.entries.remove(&key(4));
+    seen.applied(&state);
+    assert_eq!(seen.faults(), faults(2, 0, 0));
+}
+
+/// A change that is applied again under a later revision is doubled.
+#[test]
+fn a_change_applied_again_is_doubled() {
+    let mut seen = SeenChanges::default();
+    let mut state = State::with_changes(1..=3);
+    seen.applied(&state);
+    state.change(3);
+    seen.applied(&state);
+    assert_eq!(seen.faults(), faults(0, 1, 0));
+}
+
+/// State that goes back is out of order, by its revision and by its number.
+#[test]
+fn state_that_goes_back_is_out_of_order() {
+    let mut seen = SeenChanges::default();
+    let old = State::with_changes(1..=3);
+    let new = State::with_changes(1..=5);
+    seen.applied(&new);
+    seen.applied(&old);
+    assert_eq!(seen.faults(), faults(0, 0, 2));
+    let mut swapped = State::with_changes([1, 3, 2]);
+    swapped.entries.insert(LATEST.to_owned(), (3, b"3".to_vec()));
+    let mut seen = SeenChanges::default();
+    seen.applied(&swapped);
+    assert_eq!(seen.faults(), faults(0, 0, 1));
+}
+
+/// Digests differ where a revision, a number or the order does.
+#[test]
+fn digests_tell_sequences_apart() {
+    let digest = |changes: &[(u64, u64)]| {
+        let mut digest = Digest::default();
+        changes.iter().for_each(|(number, revision)| digest.add(*number, *revision));
+        digest
+    };
+    let base = digest(&[(1, 4), (2, 5)]);
+    for other in [&[(2, 5), (1, 4)][..], &[(1, 4), (2, 6)], &[(1, 4)], &[(1, 4), (2, 5), (3, 6)]] {
+        assert_ne!(digest(other), base, "{other:?}");
+    }
+}
