--- a/cluster/node/src/transport.rs
+++ b/cluster/node/src/transport.rs
@@ -58,6 +58,8 @@
     ended: Rc<RefCell<Vec<u64>>>,
     next: Cell<u64>,
     dropped: Cell<u64>,
+    /// Messages sent to members and received from them.
+    messages: Cell<(u64, u64)>,
     /// Members that this one does not hear and does not reach, for tests of cuts.
     cut: RefCell<Vec<NodeId>>,
 }
@@ -85,6 +87,7 @@
             ended: Rc::default(),
             next: Cell::new(0),
             dropped: Cell::new(0),
+            messages: Cell::default(),
             cut: RefCell::default(),
         })
     }
@@ -110,6 +113,12 @@
         *self.disks.borrow_mut() = known;
     }
 
+    /// Messages sent to members and received from them so far.
+    #[must_use]
+    pub fn messages(&self) -> (u64, u64) {
+        self.messages.get()
+    }
+
     /// Messages dropped so far, as their queue was full.
     #[must_use]
     pub fn dropped(&self) -> u64 {
@@ -136,6 +145,8 @@
         }
         queue.bytes.set(queue.bytes.get() + frame.len());
         queue.frames.borrow_mut().push_back(frame);
+        let (sent, received) = self.messages.get();
+        self.messages.set((sent + 1, received));
         queue.waker.borrow_mut().take().into_iter().for_each(Waker::wake);
     }
 
@@ -205,6 +216,8 @@
             return format!("refused: member {} had another disk", hello.from);
         }
         if !transport.cut.borrow().contains(&hello.from) {
+            let (sent, received) = transport.messages.get();
+            transport.messages.set((sent, received + 1));
             (transport.incoming)(hello.from, message);
         }
     }
--- a/violetgate/src/daemon/mod.rs
+++ b/violetgate/src/daemon/mod.rs
@@ -282,6 +282,7 @@
         use std::fmt::Write as _;
         let status = self.status();
         let mut out = String::new();
+        let (sent, received) = self.cluster.transport().messages();
         let turned_away = self.parts.get().map_or(0, |p| p.dispatch.turned_away());
         for (name, kind, help, value) in [
             ("leads", "gauge", "This member leads.", u64::from(status.role == Role::Leader)),
@@ -292,6 +293,8 @@
             ("voters", "gauge", "Members that vote.", status.members.voters.len() as u64),
             ("routes", "gauge", "The state is confirmed: requests may be sent.", u64::from(self.is_open())),
             ("turned_away_total", "counter", "Requests and attempts not sent on old state.", turned_away),
+            ("messages_sent_total", "counter", "Messages sent to members.", sent),
+            ("messages_received_total", "counter", "Messages received from members.", received),
             ("dropped_total", "counter", "Messages to members dropped.", self.cluster.transport().dropped()),
         ] {
             let name = format!("svc_cluster_{name}");
