--- a/violetgate/src/daemon/figures.rs
+++ b/violetgate/src/daemon/figures.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use violetgate_cluster::{FleetTotals, Status, SubscriptionStatus, Traffic};
+use violetgate_cluster::{FleetTotals, InForce, Status, SubscriptionStatus, Traffic};
 use violetgate_consensus::Role;
 
 /// Spans of time under which serving front ends are behind, as the labels of `svc_cluster_behind`.
@@ -40,16 +40,22 @@
     pub routes: bool,
     pub turned_away: u64,
     pub dropped: u64,
-    /// Messages sent to members and received from them.
-    pub messages: (u64, u64),
+    /// With other members.
+    pub traffic: Traffic,
     /// Subscribers here; `None`: it takes none.
     pub subscribers: Option<usize>,
     pub fleet: FleetTotals,
+    pub last_in_force: Option<InForce>,
+}
+
+/// Milliseconds from the moment at which a revision was known to an observer until it was in force everywhere.
+pub(super) fn until_in_force(record: &InForce) -> u64 {
+    record.in_force_at.saturating_sub(record.known_at) / 1_000
 }
 
 impl MemberFigures {
     pub fn text(&self) -> String {
-        let MemberFigures { status, fleet, .. } = self;
+        let MemberFigures { status, traffic, fleet, .. } = self;
         let mut out = Text(String::new());
         out.gauge("leads", "This member leads.", u64::from(status.role == Role::Leader));
         out.gauge("term", "The term.", status.term);
@@ -60,8 +66,8 @@
         out.gauge("routes", "The state is confirmed: requests may be sent.", u64::from(self.routes));
         out.counter("turned_away_total", "Requests and attempts not sent on old state.", self.turned_away);
         out.counter("dropped_total", "Messages to members dropped.", self.dropped);
-        out.counter("messages_sent_total", "Messages sent to members.", self.messages.0);
-        out.counter("messages_received_total", "Messages received from members.", self.messages.1);
+        out.counter("messages_sent_total", "Messages sent to members.", traffic.messages_sent);
+        out.counter("messages_received_total", "Messages received from members.", traffic.messages_received);
         if let Some(subscribers) = self.subscribers {
             out.gauge("subscribers", "Front ends connected to this observer.", subscribers as u64);
         }
@@ -70,6 +76,13 @@
         out.gauge("serving", "Front ends that serve.", fleet.serving.into());
         out.gauge("not_serving", "Front ends whose gates are shut.", fleet.not_serving.into());
         out.gauge("in_force", "The revision in force at all front ends that serve.", fleet.in_force);
+        if let Some(record) = &self.last_in_force {
+            out.gauge(
+                "in_force_after_ms",
+                "The time until the last one was in force.",
+                until_in_force(record),
+            );
+        }
         let behind = BEHIND.iter().zip(fleet.behind);
         let behind = behind.map(|(under, count)| ("under_s", (*under).to_owned(), u64::from(count)));
         out.labelled("behind", "Serving front ends that lack a revision, by how long.", behind);
