Lengthen the queue of subscribers' connections; look at an open gate when it may shut

The machine had dropped 766,777 connections: an observer's listener (and the stand-in bus) had the standard library's queue of 128. And a subscriber looked at its gate fifty times a second, most of its processor time: it now looks when the gate can shut. An observer's queue holds 4,096; Gate::remaining says how long a gate stays open.

--- a/cluster/distribution/src/subscriber/mod.rs
+++ b/cluster/distribution/src/subscriber/mod.rs
@@ -222,6 +222,12 @@
         self.gate.check(now)
     }
 
+    /// How long sends may go on from now without another confirmation; 0: none may leave.
+    #[must_use]
+    pub fn remaining(&self, now: Micros) -> Micros {
+        self.gate.remaining(now)
+    }
+
     /// Has it decide wrongly.
     #[cfg(feature = "mutants")]
     #[doc(hidden)]
--- a/cluster/node/src/observer_service.rs
+++ b/cluster/node/src/observer_service.rs
@@ -31,6 +31,9 @@
 const MOST_UNGREETED: usize = 512;
 /// How long a subscriber may take nothing; the core turns it away before, so that it can see why.
 const PATIENCE: Duration = Duration::from_secs(15);
+/// Connections that the machine may hold until they are accepted. The standard library's 128 are gone at once where
+/// thousands of front ends come back together; what is dropped then comes again only after a second.
+const BACKLOG: i32 = 4_096;
 /// The pause after an accept that failed.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -84,6 +87,8 @@
     ) -> Result<Rc<Self>, ServiceError> {
         let failed = |source| ServiceError::Listen { address: listen, source };
         let listener = Async::<TcpListener>::bind(listen).map_err(failed)?;
+        // Listening once more only makes the machine's queue longer.
+        rustix::net::listen(listener.get_ref(), BACKLOG).map_err(|error| failed(error.into()))?;
         let address = listener.get_ref().local_addr().map_err(failed)?;
         let now = boot();
         let service = Rc::new_cyclic(|me| ObserverService {
--- a/cluster/node/src/subscription.rs
+++ b/cluster/node/src/subscription.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use async_executor::{LocalExecutor, Task};
 use violetgate_consensus::NodeId;
@@ -108,6 +109,12 @@
         self.core.borrow().may_route(boot())
     }
 
+    /// How long sends may go on from now without another confirmation; zero: none may leave.
+    #[must_use]
+    pub fn remaining(&self) -> Duration {
+        Duration::from_micros(self.core.borrow().remaining(boot()))
+    }
+
     /// Reads the replica as it is applied here.
     pub fn replica<T>(&self, read: impl FnOnce(&Replica) -> T) -> T {
         read(self.core.borrow().replica())
--- a/cluster/state/src/gate.rs
+++ b/cluster/state/src/gate.rs
@@ -91,6 +91,13 @@
             age => Err(Stale { age }),
         }
     }
+
+    /// How long sends may go on from now without another confirmation; 0: none may leave.
+    #[must_use]
+    pub fn remaining(&self, now: Micros) -> Micros {
+        let age = self.confirmed.and_then(|at| now.checked_sub(at));
+        age.map_or(0, |age| self.limit.saturating_sub(age))
+    }
 }
 
 #[cfg(test)]
@@ -105,7 +112,7 @@
     #[test]
     fn a_copy_is_as_old_as_its_question() {
         let mut gate = Gate::new(LIMIT);
-        assert_eq!(gate.check(5), Err(Stale { age: None }));
+        assert_eq!((gate.check(5), gate.remaining(5)), (Err(Stale { age: None }), 0));
         let (one, two) = (gate.ask(100), gate.ask(200));
         gate.answered(two, 7);
         assert!(gate.check(300).is_err(), "entry 7 is not applied here");
@@ -113,6 +120,7 @@
         assert!(gate.check(300).is_err());
         gate.applied(7);
         assert!(gate.check(200 + LIMIT - 1).is_ok());
+        assert_eq!((gate.remaining(200 + LIMIT - 1), gate.remaining(200 + LIMIT)), (1, 0));
         assert_eq!(gate.check(200 + LIMIT), Err(Stale { age: Some(LIMIT) }));
         gate.answered(one, 3);
         assert_eq!(gate.check(200 + LIMIT), Err(Stale { age: Some(LIMIT) }), "an older question");
--- a/tools/scale/src/hollow/process.rs
+++ b/tools/scale/src/hollow/process.rs
@@ -20,7 +20,7 @@
 use super::HollowError;
 
 /// How often each front end is looked at.
-const LOOK: Duration = Duration::from_millis(20);
+const LOOK: Duration = Duration::from_millis(50);
 /// How often totals are reported.
 const REPORT_EVERY: Micros = 250_000;
 /// The most answered changes that are waited for at a time.
--- a/tools/scale/src/whole_run/phases.rs
+++ b/tools/scale/src/whole_run/phases.rs
@@ -112,7 +112,8 @@
             }
             if Instant::now() > until {
                 let what = format!("{hollow} hollow and {} real front ends serve", self.plan.real);
-                let found = format!("{running} run, {serving} and {real} serve; {}", self.real.log());
+                let found =
+                    format!("{running} run, {serving} and {real} serve; {}", last_lines(&self.real.log()));
                 return Err(WholeRunError::Late { what, seconds: SERVE.as_secs(), found });
             }
             std::thread::sleep(Duration::from_millis(20));
@@ -218,6 +219,15 @@
     }
 }
 
+/// Lines of a log that go into an error.
+const LAST_LINES: usize = 8;
+
+fn last_lines(log: &str) -> String {
+    let lines: Vec<_> = log.lines().filter(|line| !line.starts_with("management")).collect();
+    let from = lines.len().saturating_sub(LAST_LINES);
+    lines.get(from..).unwrap_or_default().join(" | ")
+}
+
 /// Bytes of a megabyte.
 const MEGABYTE: f64 = 1_048_576.0;
 
--- a/tools/scale/src/whole_run/phases/steady.rs
+++ b/tools/scale/src/whole_run/phases/steady.rs
@@ -87,6 +87,8 @@
         figures.add_number("scale_change_in_force_p50_s", delays.quantile(0.5));
         figures.add_number("scale_change_in_force_max_s", delays.quantile(1.0));
         self.hold_time("scale_change_in_force_p99_s", delays.quantile(0.99), IN_FORCE_S, figures);
+        let applied = Delays::of(&within(&self.made()), &self.children.reached());
+        figures.add_number("scale_change_applied_p99_s", applied.quantile(0.99));
         let real = Delays::of(&within(&self.made()), &self.reached_by_real());
         self.hold_time("scale_real_in_force_p99_s", real.quantile(0.99), IN_FORCE_S, figures);
         Ok(())
--- a/tools/standin/src/bus.rs
+++ b/tools/standin/src/bus.rs
@@ -14,6 +14,8 @@
 use crate::lock;
 
 const BEAT: Duration = Duration::from_secs(1);
+/// Connections that the machine may hold until they are accepted: a large fleet may come at once.
+const BACKLOG: i32 = 4_096;
 
 pub(crate) struct Bus {
     pub addr: SocketAddr,
@@ -33,6 +35,8 @@
 impl Bus {
     pub fn start(executor: &Arc<Executor<'static>>) -> std::io::Result<Arc<Self>> {
         let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        // Listening once more only makes the machine's queue longer.
+        rustix::net::listen(listener.get_ref(), BACKLOG)?;
         let bus = Arc::new(Bus {
             addr: listener.get_ref().local_addr()?,
             state: Mutex::default(),
--- a/violetgate/src/daemon/subscribed.rs
+++ b/violetgate/src/daemon/subscribed.rs
@@ -21,6 +21,8 @@
 
 /// An observer may leave a question unanswered for this part of the drain limit, and for the core's default at most.
 const ANSWERS_IN_LIMIT: u32 = 5;
+/// How long an open gate is left alone; a change of observer is logged within this time.
+const LONGEST_LOOK: Duration = Duration::from_millis(250);
 
 /// This front end as a subscriber.
 pub struct Subscribed {
@@ -152,7 +154,9 @@
             let (watched, reserve) = (number(watched), number(reserve));
             log::line(format_args!("cluster observer={watched} reserve={reserve} revision={revision}"));
         }
+        // An open gate can't shut before that: fifty looks a second would be most of what control costs.
+        let pause = subscribed.subscription.remaining().clamp(LOOK, LONGEST_LOOK);
         drop(subscribed);
-        Timer::after(LOOK).await;
+        Timer::after(pause).await;
     }
 }
