--- a/tools/scale/src/lib.rs
+++ b/tools/scale/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod program;
 pub mod slope;
 pub mod usage;
+pub mod whole_run;
 
 pub use error::ScaleError;
 pub use figures::{Figures, Options};
--- a/violetgate/src/daemon/figures.rs
+++ b/violetgate/src/daemon/figures.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::Write as _;
 
-use violetgate_cluster::{FleetTotals, InForce, Status, SubscriptionStatus};
+use violetgate_cluster::{FleetTotals, InForce, Status, SubscriptionStatus, Traffic};
 use violetgate_consensus::Role;
 
 /// Spans of time under which serving front ends are behind, as the labels of `svc_cluster_behind`.
@@ -40,6 +40,8 @@
     pub routes: bool,
     pub turned_away: u64,
     pub dropped: u64,
+    /// With other members.
+    pub traffic: Traffic,
     /// Subscribers here; `None`: it takes none.
     pub subscribers: Option<usize>,
     pub fleet: FleetTotals,
@@ -53,7 +55,7 @@
 
 impl MemberFigures {
     pub fn text(&self) -> String {
-        let MemberFigures { status, fleet, .. } = self;
+        let MemberFigures { status, traffic, fleet, .. } = self;
         let mut out = Text(String::new());
         out.gauge("leads", "This member leads.", u64::from(status.role == Role::Leader));
         out.gauge("term", "The term.", status.term);
@@ -64,6 +66,8 @@
         out.gauge("routes", "The state is confirmed: requests may be sent.", u64::from(self.routes));
         out.counter("turned_away_total", "Requests and attempts not sent on old state.", self.turned_away);
         out.counter("dropped_total", "Messages to members dropped.", self.dropped);
+        out.counter("messages_sent_total", "Messages sent to members.", traffic.messages_sent);
+        out.counter("messages_received_total", "Messages received from members.", traffic.messages_received);
         if let Some(subscribers) = self.subscribers {
             out.gauge("subscribers", "Front ends connected to this observer.", subscribers as u64);
         }
@@ -89,16 +93,19 @@
 /// What a subscriber counts.
 pub(super) struct SubscriberFigures {
     pub status: SubscriptionStatus,
+    pub traffic: Traffic,
     pub turned_away: u64,
 }
 
 impl SubscriberFigures {
     pub fn text(&self) -> String {
-        let SubscriberFigures { status, turned_away } = self;
+        let SubscriberFigures { status, traffic, turned_away } = self;
         let mut out = Text(String::new());
         out.gauge("revision", "The state's revision.", status.revision);
         out.gauge("routes", "The state is confirmed: requests may be sent.", u64::from(status.fresh.is_ok()));
         out.counter("turned_away_total", "Requests and attempts not sent on old state.", *turned_away);
+        out.counter("sent_bytes_total", "Bytes sent to observers.", traffic.bytes_sent);
+        out.counter("received_bytes_total", "Bytes received from observers.", traffic.bytes_received);
         out.gauge("observer", "The observer that is watched; 0: none.", status.watched.unwrap_or(0));
         out.gauge("reserve_observer", "The observer held in reserve; 0: none.", status.reserve.unwrap_or(0));
         let refusal = status.refusal.iter().map(|refusal| ("code", refusal.code().to_owned(), 1));
--- a/violetgate/src/daemon/mod.rs
+++ b/violetgate/src/daemon/mod.rs
@@ -33,6 +33,7 @@
 pub use adoption::Parts;
 pub use api::{listen, MemberStep};
 pub use participant::Participant;
+pub use subscribed::Subscribed;
 
 /// How often the fence is looked at: what waits is told to go elsewhere within this time.
 const LOOK: Duration = Duration::from_millis(20);
@@ -245,6 +246,7 @@
             routes: self.is_open(),
             turned_away: self.state.turned_away(),
             dropped: self.cluster.transport().dropped(),
+            traffic: self.cluster.transport().traffic(),
             subscribers: self.observer.as_ref().map(|observer| observer.subscribers()),
             fleet: self.fleet_progress(),
             last_in_force: self.last_in_force(),
--- a/violetgate/src/daemon/subscribed.rs
+++ b/violetgate/src/daemon/subscribed.rs
@@ -21,6 +21,8 @@
 
 /// An observer may leave a question unanswered for this part of the drain limit, and for the core's default at most.
 const ANSWERS_IN_LIMIT: u32 = 5;
+/// How long an open gate is left alone; a change of observer is logged within this time.
+const LONGEST_LOOK: Duration = Duration::from_millis(250);
 
 /// This front end as a subscriber.
 pub struct Subscribed {
@@ -101,10 +103,17 @@
         self.subscription.status()
     }
 
+    /// The subscription itself.
+    #[must_use]
+    pub fn subscription(&self) -> &Subscription {
+        &self.subscription
+    }
+
     /// The figures, in the text format of Prometheus.
     #[must_use]
     pub fn figures(&self) -> String {
-        SubscriberFigures { status: self.status(), turned_away: self.state.turned_away() }.text()
+        let traffic = self.subscription.traffic();
+        SubscriberFigures { status: self.status(), traffic, turned_away: self.state.turned_away() }.text()
     }
 
     /// Notices that the fence was shut or opened.
@@ -145,7 +154,9 @@
             let (watched, reserve) = (number(watched), number(reserve));
             log::line(format_args!("cluster observer={watched} reserve={reserve} revision={revision}"));
         }
+        // An open gate can't shut before that: fifty looks a second would be most of what control costs.
+        let pause = subscribed.subscription.remaining().clamp(LOOK, LONGEST_LOOK);
         drop(subscribed);
-        Timer::after(LOOK).await;
+        Timer::after(pause).await;
     }
 }
