Name configurations MemberConfig, MembershipConfig and SharesConfig instead of Manner

Cause: Manner is a name of the withdrawn style, and stood for three types. Change: renamed, with the variables and fields called config; behaviour, settings and figures are the same.

--- a/cluster/member/src/lib.rs
+++ b/cluster/member/src/lib.rs
@@ -73,7 +73,7 @@
 
 /// How a member behaves beyond its core.
 #[derive(Debug, Clone, Copy)]
-pub struct Manner {
+pub struct MemberConfig {
     /// The core.
     pub core: Config,
     /// A snapshot is kept after so many entries.
@@ -84,10 +84,10 @@
     pub confirm_every: Micros,
 }
 
-impl Default for Manner {
+impl Default for MemberConfig {
     fn default() -> Self {
         let core = Config::default();
-        Manner { core, snapshot_every: 10_000, drain_limit: 2_000_000, confirm_every: 250_000 }
+        MemberConfig { core, snapshot_every: 10_000, drain_limit: 2_000_000, confirm_every: 250_000 }
     }
 }
 
@@ -100,7 +100,7 @@
 
 /// One member.
 pub struct Member {
-    manner: Manner,
+    config: MemberConfig,
     node: Node,
     store: Store,
     gate: Gate,
@@ -127,14 +127,20 @@
     /// # Errors
     ///
     /// Its snapshot holds no state; the text says why.
-    pub fn new(id: NodeId, manner: Manner, seed: u64, found: Found, now: Micros) -> Result<Self, String> {
+    pub fn new(
+        id: NodeId,
+        config: MemberConfig,
+        seed: u64,
+        found: Found,
+        now: Micros,
+    ) -> Result<Self, String> {
         let Found { hard, base, state, entries } = found;
         let store = if state.is_empty() { Store::default() } else { Store::load(&state)? };
-        let mut gate = Gate::new(manner.drain_limit);
+        let mut gate = Gate::new(config.drain_limit);
         gate.applied(base.index);
         Ok(Member {
-            manner,
-            node: Node::new(id, manner.core, seed, hard, base.clone(), entries, now),
+            config,
+            node: Node::new(id, config.core, seed, hard, base.clone(), entries, now),
             store,
             gate,
             applied: (base.term, base.index),
@@ -198,7 +204,7 @@
         if now < self.confirm_at {
             return;
         }
-        self.confirm_at = now.saturating_add(self.manner.confirm_every);
+        self.confirm_at = now.saturating_add(self.config.confirm_every);
         let question = self.gate.ask(now);
         self.ask(Asked::Gate(question));
         if self.node.role() == Role::Leader {
@@ -395,7 +401,7 @@
         }
         self.applied = (entry.term, entry.index);
         let since = entry.index.saturating_sub(self.snapshot.0.index);
-        if since >= self.manner.snapshot_every && self.keeping.is_none() {
+        if since >= self.config.snapshot_every && self.keeping.is_none() {
             let members = self.node.log().members_at(entry.index);
             let meta = Meta { index: entry.index, term: entry.term, members };
             let state = Rc::new(self.store.save());
--- a/cluster/member/tests/linearizable.rs
+++ b/cluster/member/tests/linearizable.rs
@@ -12,7 +12,7 @@
 use violetgate_consensus::{Members, Message, Meta, NodeId, Write};
 use violetgate_disk::{Disk, Files, Identity};
 use violetgate_linear::{fits, Call, Deed};
-use violetgate_member::{Answer, Effect, Found, Manner, Member};
+use violetgate_member::{Answer, Effect, Found, Member, MemberConfig};
 use violetgate_state::{Check, Micros, Op, Outcome, Step, Txn};
 
 const MS: Micros = 1_000;
@@ -97,8 +97,8 @@
     gate: bool,
 }
 
-fn manner() -> Manner {
-    Manner { snapshot_every: 25, ..Manner::default() }
+fn config() -> MemberConfig {
+    MemberConfig { snapshot_every: 25, ..MemberConfig::default() }
 }
 
 fn identity(member: NodeId) -> Identity {
@@ -155,7 +155,7 @@
         let files = server.disk.take().unwrap().into_files();
         let (disk, kept) = Disk::open(files, "c", id).unwrap();
         let found = Found { hard: kept.hard, base: kept.base, state: kept.state, entries: kept.entries };
-        server.member = Some(Member::new(id, manner(), seed, found, now).unwrap());
+        server.member = Some(Member::new(id, config(), seed, found, now).unwrap());
         (server.disk, server.starts, server.tick_at) = (Some(disk), server.starts + 1, Micros::MAX);
         server.waiting.clear();
         self.wind(id);
@@ -423,7 +423,7 @@
 
     /// Whoever may route knows all that was told as done a drain limit ago.
     fn check_gate(&mut self) {
-        let (now, limit) = (self.now, manner().drain_limit);
+        let (now, limit) = (self.now, config().drain_limit);
         let due = self.told.iter().filter(|(at, _)| at + limit <= now).map(|(_, r)| *r).max().unwrap_or(0);
         for server in self.servers.values().filter(|s| s.paused <= now) {
             let Some(member) = &server.member else { continue };
--- a/cluster/node/src/runtime.rs
+++ b/cluster/node/src/runtime.rs
@@ -19,7 +19,7 @@
 use async_io::Async;
 use violetgate_consensus::{Index, Members, Meta, NodeId, Rejected};
 use violetgate_disk::{Disk, Folder, Identity};
-use violetgate_member::{Answer, Effect, Found, Manner, Member, Ticket};
+use violetgate_member::{Answer, Effect, Found, Member, MemberConfig, Ticket};
 use violetgate_state::{Stale, Store};
 
 use crate::clock::{boot, wall, Alarm};
@@ -48,7 +48,7 @@
     /// All members that are known, with their addresses.
     pub members: BTreeMap<NodeId, SocketAddr>,
     /// How it behaves.
-    pub manner: Manner,
+    pub config: MemberConfig,
     /// For random numbers.
     pub seed: u64,
 }
@@ -120,7 +120,7 @@
     ///
     /// Its folder or its address can't be used; the text says why.
     pub fn start(executor: &Rc<LocalExecutor<'static>>, options: &Options) -> Result<Rc<Self>, String> {
-        let Options { cluster, id, folder, listen, members, manner, seed } = options.clone();
+        let Options { cluster, id, folder, listen, members, config, seed } = options.clone();
         let place = folder.display().to_string();
         let files = || Folder::new(&folder).map_err(|e| format!("{place}: {e}"));
         let (disk, kept) = Disk::open(files()?, &cluster, id).map_err(|e| format!("{place}: {e}"))?;
@@ -130,7 +130,7 @@
         }
         let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("{listen}: {e}"))?;
         let found = Found { hard: kept.hard, base: kept.base, state: kept.state, entries: kept.entries };
-        let member = Member::new(id, manner, seed, found, boot())?;
+        let member = Member::new(id, config, seed, found, boot())?;
         let (jobs, work) = mpsc::channel();
         let (tell, done) = async_channel::unbounded();
         std::thread::Builder::new()
--- a/cluster/node/tests/fleet/mod.rs
+++ b/cluster/node/tests/fleet/mod.rs
@@ -13,7 +13,7 @@
     Subscription,
 };
 use violetgate_consensus::{Change, NodeId};
-use violetgate_member::{Answer, Manner};
+use violetgate_member::{Answer, MemberConfig};
 use violetgate_state::{Entries, Op, Outcome, Revision, Step, Txn};
 
 /// How long anything may take on a busy machine.
@@ -92,7 +92,7 @@
             folder: self.folder.join(id.to_string()),
             listen: self.addresses[&id],
             members: self.addresses.clone(),
-            manner: Manner { snapshot_every: 1_000, ..Manner::default() },
+            config: MemberConfig { snapshot_every: 1_000, ..MemberConfig::default() },
             seed: 7 + id,
         };
         self.members.insert(id, Cluster::start(&self.executor, &options).unwrap());
--- a/cluster/node/tests/three.rs
+++ b/cluster/node/tests/three.rs
@@ -11,7 +11,7 @@
 use async_io::Timer;
 use violetgate_cluster::{Answered, Beginning, Call, Cluster, Options};
 use violetgate_consensus::{Change, NodeId, Role};
-use violetgate_member::{Answer, Manner};
+use violetgate_member::{Answer, MemberConfig};
 use violetgate_state::{Op, Outcome, Step, Txn};
 
 const WAIT: Duration = Duration::from_secs(30);
@@ -45,7 +45,7 @@
             folder: self.folder.join(id.to_string()),
             listen: self.addrs[&id],
             members: self.addrs.clone(),
-            manner: Manner { snapshot_every: 50, ..Manner::default() },
+            config: MemberConfig { snapshot_every: 50, ..MemberConfig::default() },
             seed: 7 + id,
         }
     }
--- a/fleet/link/src/lib.rs
+++ b/fleet/link/src/lib.rs
@@ -13,7 +13,9 @@
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use violetgate_membership::{Action, Manner, Member, Membership, Micros, Name, ShareManner, Shares, State};
+use violetgate_membership::{
+    Action, Member, Membership, MembershipConfig, Micros, Name, Shares, SharesConfig, State,
+};
 
 /// Time between two turns.
 const TURN: Duration = Duration::from_millis(50);
@@ -59,9 +61,9 @@
     /// Where others may be found.
     pub seeds: Vec<SocketAddr>,
     /// How the membership behaves.
-    pub manner: Manner,
+    pub config: MembershipConfig,
     /// How the count follows the view.
-    pub shares: ShareManner,
+    pub shares: SharesConfig,
     /// When this life began, in Unix microseconds.
     pub life: u64,
     /// For random numbers.
@@ -106,7 +108,7 @@
         };
         let waits = bound.is_none();
         let (o, now) = (options, clock());
-        let membership = Membership::new(o.manner, o.member, o.address, o.life, &o.seeds, o.seed);
+        let membership = Membership::new(o.config, o.member, o.address, o.life, &o.seeds, o.seed);
         let link = Rc::new(Link {
             fleet: o.fleet,
             socket: RefCell::new(bound),
--- a/fleet/membership/src/exchange.rs
+++ b/fleet/membership/src/exchange.rs
@@ -122,7 +122,7 @@
         if partner.is_empty() {
             return;
         }
-        let usual = self.manner.exchange_every / 2 + self.rng.next_u64() % self.manner.exchange_every;
+        let usual = self.config.exchange_every / 2 + self.rng.next_u64() % self.config.exchange_every;
         let eager = self.exchange.eager > 0;
         self.exchange.eager = self.exchange.eager.saturating_sub(1);
         self.next_exchange = self.now + if eager { usual.min(ASK_AGAIN) } else { usual };
--- a/fleet/membership/src/handling.rs
+++ b/fleet/membership/src/handling.rs
@@ -83,7 +83,7 @@
     /// This member goes, of its own will: the others are told at once.
     pub fn leave(&mut self, actions: &mut Vec<Action>) {
         self.own.state = State::Left;
-        for addr in self.some(3 * self.manner.fanout, &self.own.name.clone()) {
+        for addr in self.some(3 * self.config.fanout, &self.own.name.clone()) {
             let message = Message { body: Body::Tell, claims: vec![self.own.clone()] };
             actions.push(Action::Send(addr, message));
         }
@@ -96,7 +96,7 @@
         }
         let now = self.now;
         let old = self.peers.get(&claim.name);
-        if old.is_none() && self.peers.len() >= self.manner.most {
+        if old.is_none() && self.peers.len() >= self.config.most {
             actions.push(Action::Full(Name::clone(&claim.name)));
             return;
         }
@@ -127,14 +127,14 @@
         let revived = old.filter(same_life).map_or(0, |p| p.revived + u32::from(back(p)));
         let changed = old.is_none_or(|p| p.claim.state != claim.state);
         let next_ping =
-            old.map_or_else(|| now + self.rng.next_u64() % self.manner.probe_every, |p| p.next_ping);
+            old.map_or_else(|| now + self.rng.next_u64() % self.config.probe_every, |p| p.next_ping);
         let peer = Peer {
             since: old.filter(|_| !changed).map_or(now, |p| p.since),
             accusers: claim.by.iter().cloned().collect(),
             heard: old.map_or(now, |p| p.heard),
             cut: old.filter(same_life).and_then(|p| p.cut),
             next_ping: if claim.state == State::Suspect {
-                next_ping.min(now + self.manner.reply)
+                next_ping.min(now + self.config.reply)
             } else {
                 next_ping
             },
@@ -190,8 +190,8 @@
         if self.spread.is_empty() || self.now < self.next_spread {
             return;
         }
-        self.next_spread = self.now + self.manner.spread_every;
-        for addr in self.some(self.manner.fanout, &self.own.name.clone()) {
+        self.next_spread = self.now + self.config.spread_every;
+        for addr in self.some(self.config.fanout, &self.own.name.clone()) {
             if !self.spread.is_empty() {
                 let message = self.message(Body::Tell, None);
                 actions.push(Action::Send(addr, message));
@@ -205,7 +205,7 @@
         if self.now < self.next_knock {
             return;
         }
-        self.next_knock = self.now + self.manner.probe_every;
+        self.next_knock = self.now + self.config.probe_every;
         let dead = self.peers.gone().filter(|p| p.claim.state == State::Dead).map(|p| p.claim.addr);
         let mut doors: Vec<SocketAddr> = dead.collect();
         doors.extend(self.unknown_seeds());
@@ -247,8 +247,8 @@
         if self.now < self.next_forget {
             return;
         }
-        self.next_forget = self.now + self.manner.probe_every;
-        let (now, span) = (self.now, self.manner.forget);
+        self.next_forget = self.now + self.config.probe_every;
+        let (now, span) = (self.now, self.config.forget);
         let over = self.peers.gone().filter(|p| now >= p.since + span);
         let over: Vec<Name> = over.map(|p| Name::clone(&p.claim.name)).collect();
         over.iter().for_each(|name| self.peers.remove(name));
--- a/fleet/membership/src/lib.rs
+++ b/fleet/membership/src/lib.rs
@@ -22,10 +22,10 @@
 pub use digest::{bucket_of, BUCKETS};
 #[doc(hidden)]
 pub use membership::Mutant;
-pub use membership::{Action, Manner, Member, Membership};
+pub use membership::{Action, Member, Membership, MembershipConfig};
 pub use message::{Body, BucketSet, Message, Unfit, ViewSums, Want, MOST_CLAIMS};
 pub use rings::Rings;
-pub use shares::{Manner as ShareManner, Shares};
+pub use shares::{Shares, SharesConfig};
 
 /// A moment or a span in microseconds.
 pub type Micros = u64;
--- a/fleet/membership/src/membership.rs
+++ b/fleet/membership/src/membership.rs
@@ -42,7 +42,7 @@
 
 /// How a member behaves. The same everywhere, or the slowest decides how soon a death is told.
 #[derive(Debug, Clone)]
-pub struct Manner {
+pub struct MembershipConfig {
     /// Time between two pings to one that is watched.
     pub probe_every: Micros,
     /// How long an answer may take; the same again through others.
@@ -70,9 +70,9 @@
     pub mutant: Option<Mutant>,
 }
 
-impl Default for Manner {
+impl Default for MembershipConfig {
     fn default() -> Self {
-        Manner {
+        MembershipConfig {
             probe_every: 1_000_000,
             reply: 300_000,
             suspect_for: 3_400_000,
@@ -154,7 +154,7 @@
 /// One front end's view.
 #[derive(Debug, Clone)]
 pub struct Membership {
-    pub(crate) manner: Manner,
+    pub(crate) config: MembershipConfig,
     pub(crate) own: Claim,
     pub(crate) seeds: Vec<Seed>,
     pub(crate) rng: ChaCha8Rng,
@@ -184,19 +184,19 @@
     /// A member that knows only itself and where others may be; `life` is its start in Unix microseconds.
     #[must_use]
     pub fn new(
-        manner: Manner,
+        config: MembershipConfig,
         name: Name,
         addr: SocketAddr,
         life: u64,
         seeds: &[SocketAddr],
         seed: u64,
     ) -> Self {
-        let mut rings = Rings::new(manner.rings.max(1));
+        let mut rings = Rings::new(config.rings.max(1));
         rings.add(&name);
-        let exchange = Exchange::new(manner.exchange_bytes_per_s);
+        let exchange = Exchange::new(config.exchange_bytes_per_s);
         let own = Claim { name, addr, life, turn: 0, state: State::Alive, by: None };
         Membership {
-            manner,
+            config,
             own,
             seeds: seeds.iter().filter(|s| **s != addr).map(|s| Seed { addr: *s, member: None }).collect(),
             rng: ChaCha8Rng::seed_from_u64(seed),
@@ -222,7 +222,7 @@
 
     #[cfg(feature = "mutants")]
     pub(crate) fn mutated(&self, how: Mutant) -> bool {
-        self.manner.mutant == Some(how)
+        self.config.mutant == Some(how)
     }
 
     #[cfg(not(feature = "mutants"))]
--- a/fleet/membership/src/probing.rs
+++ b/fleet/membership/src/probing.rs
@@ -116,7 +116,7 @@
 
     fn start_probes(&mut self, actions: &mut Vec<Action>) {
         for name in self.watched() {
-            let (every, quick, jitter) = (self.manner.probe_every, self.manner.reply, self.rng.next_u64());
+            let (every, quick, jitter) = (self.config.probe_every, self.config.reply, self.rng.next_u64());
             let Some(p) = self.peers.get_mut(&name).filter(|p| p.next_ping <= self.now) else { continue };
             let span = if p.claim.state == State::Suspect { quick } else { every };
             p.next_ping = self.now + span - jitter % (span / 10).max(1);
@@ -131,14 +131,14 @@
     }
 
     fn end_probes(&mut self, actions: &mut Vec<Action>) {
-        let (reply, now) = (self.manner.reply, self.now);
+        let (reply, now) = (self.config.reply, self.now);
         let late: Vec<u64> =
             self.probes.iter().filter(|(_, p)| !p.asked && now >= p.sent + reply).map(|(s, _)| *s).collect();
         for seq in late {
             let Some(p) = self.probes.get_mut(&seq) else { continue };
             p.asked = true;
             let (target, addr) = (Name::clone(&p.target), p.addr);
-            for helper in self.some(self.manner.helpers, &target) {
+            for helper in self.some(self.config.helpers, &target) {
                 let message = self.message(Body::PingFor(seq, Name::clone(&target), addr), None);
                 actions.push(Action::Send(helper, message));
             }
@@ -159,7 +159,7 @@
     /// A ping has had no answer, at least none that came straight.
     fn silent(&mut self, probe: &Probe, actions: &mut Vec<Action>) {
         let (now, own) = (self.now, Name::clone(&self.own.name));
-        let recent = |heard: Micros| now.saturating_sub(heard) < self.manner.probe_every;
+        let recent = |heard: Micros| now.saturating_sub(heard) < self.config.probe_every;
         let deaf = !self.peers.values().any(|p| recent(p.heard));
         if probe.others && !self.mutated(Mutant::CutIsDeath) {
             self.set_cut(&probe.target, true, actions);
@@ -206,7 +206,7 @@
             return;
         }
         self.next_seq += 1;
-        let (own, until) = (self.next_seq, self.now + 2 * self.manner.reply);
+        let (own, until) = (self.next_seq, self.now + 2 * self.config.reply);
         self.helped.insert(own, Helped { asked_at: from, seq, target: Name::clone(&target), until });
         self.ping(&target, at, own, out);
     }
@@ -227,7 +227,7 @@
         }
         let own = &self.own.name;
         let (now, base) =
-            (self.now, self.manner.suspect_for + self.manner.suspect_for * u64::from(self.strain) / 8);
+            (self.now, self.config.suspect_for + self.config.suspect_for * u64::from(self.strain) / 8);
         let needed = if self.mutated(Mutant::LoneJudge) { 1 } else { 2 };
         let dead = |p: &&crate::membership::Peer| {
             if p.claim.state != State::Suspect || !p.accusers.contains(own) || now < p.since + base {
--- a/fleet/membership/src/shares.rs
+++ b/fleet/membership/src/shares.rs
@@ -6,7 +6,7 @@
 
 /// How the count follows the view.
 #[derive(Debug, Clone, Copy)]
-pub struct Manner {
+pub struct SharesConfig {
     /// The count that the settings name: what holds until the view has stood for `settle`.
     pub told: u32,
     /// How long a lower count has to stand before it is followed: longer than any view may lag.
@@ -18,7 +18,7 @@
 /// The count of front ends that a process reckons with.
 #[derive(Debug, Clone)]
 pub struct Shares {
-    manner: Manner,
+    config: SharesConfig,
     count: u32,
     /// The highest count seen lately, and since when no higher one was.
     seen: u32,
@@ -29,9 +29,9 @@
 impl Shares {
     /// Begins with what the settings name, at least one.
     #[must_use]
-    pub fn new(manner: Manner, now: Micros) -> Self {
-        let count = manner.told.max(1);
-        Shares { manner, count, seen: count, since: now, next: now.saturating_add(manner.settle) }
+    pub fn new(config: SharesConfig, now: Micros) -> Self {
+        let count = config.told.max(1);
+        Shares { config, count, seen: count, since: now, next: now.saturating_add(config.settle) }
     }
 
     /// The count now.
@@ -45,16 +45,16 @@
         let (alive, before) = (alive.max(1), self.count);
         if alive >= self.count {
             (self.count, self.seen, self.since) = (alive, alive, now);
-            self.next = now.saturating_add(self.manner.settle);
+            self.next = now.saturating_add(self.config.settle);
         } else {
             if alive != self.seen {
                 // A view that moves has not settled; the wait begins anew.
-                self.next = self.next.max(now.saturating_add(self.manner.settle));
+                self.next = self.next.max(now.saturating_add(self.config.settle));
                 (self.seen, self.since) = (alive, now);
             }
             while now >= self.next && self.count > alive {
                 self.count -= 1;
-                self.next = self.next.saturating_add(self.manner.step.max(1));
+                self.next = self.next.saturating_add(self.config.step.max(1));
             }
         }
         self.count != before
@@ -69,7 +69,7 @@
     const S: Micros = 1_000_000;
 
     fn shares(told: u32) -> Shares {
-        Shares::new(Manner { told, settle: 10 * S, step: 2 * S }, 0)
+        Shares::new(SharesConfig { told, settle: 10 * S, step: 2 * S }, 0)
     }
 
     /// A newcomer that sees only itself takes no more than its settings give it until its view has stood for a while.
--- a/fleet/membership/tests/exchange.rs
+++ b/fleet/membership/tests/exchange.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 
 use violetgate_membership::{
-    bucket_of, Action, Body, BucketSet, Claim, Manner, Membership, Message, State, Unfit, ViewSums, Want,
-    BUCKETS, MOST_CLAIMS,
+    bucket_of, Action, Body, BucketSet, Claim, Membership, MembershipConfig, Message, State, Unfit, ViewSums,
+    Want, BUCKETS, MOST_CLAIMS,
 };
 
 const S: u64 = 1_000_000;
@@ -31,14 +31,14 @@
 impl Pair {
     /// Members with these views, that know each other.
     fn new(first: &[Claim], second: &[Claim]) -> Self {
-        Pair::with(Manner::default(), first, second)
+        Pair::with(MembershipConfig::default(), first, second)
     }
 
-    fn with(manner: Manner, first: &[Claim], second: &[Claim]) -> Self {
+    fn with(config: MembershipConfig, first: &[Claim], second: &[Claim]) -> Self {
         let member = |port: u16, claims: &[Claim]| {
             let name = format!("pair-{port}");
             let seed = u64::from(port);
-            let mut m = Membership::new(manner.clone(), name.as_str().into(), addr(port), 1_000, &[], seed);
+            let mut m = Membership::new(config.clone(), name.as_str().into(), addr(port), 1_000, &[], seed);
             m.adopt_claims(claims);
             m
         };
@@ -137,9 +137,9 @@
 #[test]
 fn the_budget_holds() {
     let all: Vec<Claim> = (0..4_000).map(claim).collect();
-    let manner = Manner::default();
-    let allowed = manner.exchange_bytes_per_s * 4;
-    let mut member = Membership::new(manner, "pair-2".into(), addr(2), 1_000, &[], 2);
+    let config = MembershipConfig::default();
+    let allowed = config.exchange_bytes_per_s * 4;
+    let mut member = Membership::new(config, "pair-2".into(), addr(2), 1_000, &[], 2);
     member.adopt_claims(&all);
     let want = Want { buckets: (0..BUCKETS).collect(), mutual: false };
     let mut sent = 0;
@@ -188,9 +188,9 @@
 #[test]
 fn older_builds_are_sent_claims_that_they_read() {
     let all: Vec<Claim> = (0..40).map(claim).collect();
-    let mut member = Membership::new(Manner::default(), "pair-2".into(), addr(2), 1_000, &[], 2);
+    let mut member = Membership::new(MembershipConfig::default(), "pair-2".into(), addr(2), 1_000, &[], 2);
     member.adopt_claims(&all);
-    let older = Membership::new(Manner::default(), "pair-1".into(), addr(1), 1_000, &[], 1);
+    let older = Membership::new(MembershipConfig::default(), "pair-1".into(), addr(1), 1_000, &[], 1);
     let own = older.own_claim().clone();
     let mut bodies = |claims: Vec<Claim>| {
         let mut actions = Vec::new();
@@ -210,7 +210,7 @@
 /// Buckets of another number are turned away, and nothing changes.
 #[test]
 fn sums_of_other_sizes_are_turned_away() {
-    let mut member = Membership::new(Manner::default(), "pair-2".into(), addr(2), 1_000, &[], 2);
+    let mut member = Membership::new(MembershipConfig::default(), "pair-2".into(), addr(2), 1_000, &[], 2);
     let other = claim(1);
     let body = Body::Sums(ViewSums { known: 1, sums: vec![0; 3] });
     let heard = member.hear(S, &Message { body, claims: vec![other] }, &mut Vec::new());
@@ -233,8 +233,8 @@
     use super::*;
     use violetgate_membership::Mutant;
 
-    fn mutant(how: Mutant) -> Manner {
-        Manner { mutant: Some(how), ..Manner::default() }
+    fn mutant(how: Mutant) -> MembershipConfig {
+        MembershipConfig { mutant: Some(how), ..MembershipConfig::default() }
     }
 
     /// A build that never asks for one bucket does not come to the same view.
--- a/tools/prove/src/inside.rs
+++ b/tools/prove/src/inside.rs
@@ -10,7 +10,7 @@
 use violetgate_cluster::{Beginning, Cluster, Options};
 use violetgate_consensus::{Entry, Hard, Payload, Write};
 use violetgate_disk::{Disk, Folder};
-use violetgate_member::Manner;
+use violetgate_member::MemberConfig;
 use violetgate_state::{Command, Op, Step, Txn};
 
 use crate::Verdict;
@@ -41,7 +41,7 @@
             folder: self.0.clone(),
             listen,
             members: BTreeMap::from([(1, listen)]),
-            manner: Manner { snapshot_every, ..Manner::default() },
+            config: MemberConfig { snapshot_every, ..MemberConfig::default() },
             seed: 7,
         })
     }
--- a/tools/scale/src/agreed_state/group.rs
+++ b/tools/scale/src/agreed_state/group.rs
@@ -14,7 +14,7 @@
 use async_io::Timer;
 use violetgate_cluster::{Beginning, Cluster, Options};
 use violetgate_consensus::NodeId;
-use violetgate_member::Manner;
+use violetgate_member::MemberConfig;
 use violetgate_state::Revision;
 
 use crate::error::ScaleError;
@@ -88,7 +88,7 @@
         folder,
         listen,
         members: addresses.clone(),
-        manner: Manner::default(),
+        config: MemberConfig::default(),
         seed: place.1.wrapping_add(id),
     };
     let member = Cluster::start(executor, &options).map_err(failed)?;
--- a/tools/simulator/src/bin/measure-membership.rs
+++ b/tools/simulator/src/bin/measure-membership.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use violetgate_membership::Manner;
+use violetgate_membership::MembershipConfig;
 use violetgate_simulator::load::{play, Case};
 
 fn main() -> ExitCode {
@@ -16,9 +16,9 @@
         );
         return ExitCode::FAILURE;
     };
-    let manner = Manner::default();
+    let config = MembershipConfig::default();
     let at_most = Duration::from_secs(number(4).unwrap_or(600));
-    let load = play(case, count as usize, &manner, number(3).unwrap_or(1), at_most);
+    let load = play(case, count as usize, &config, number(3).unwrap_or(1), at_most);
     println!("{} {count}: {load:?}", case.name());
     ExitCode::SUCCESS
 }
--- a/tools/simulator/src/bin/prove-membership.rs
+++ b/tools/simulator/src/bin/prove-membership.rs
@@ -4,7 +4,7 @@
 
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use violetgate_membership::{Manner, Micros};
+use violetgate_membership::{MembershipConfig, Micros};
 use violetgate_simulator::{Cut, FaultPlan, World, S};
 
 fn quiet(_: &World) -> Result<(), String> {
@@ -26,7 +26,7 @@
         }
     }
     let faults = FaultPlan { loss: 0.3, jitter: S / 5, pauses, ..FaultPlan::default() };
-    let mut world = World::new(count, seed, &Manner::default(), faults);
+    let mut world = World::new(count, seed, &MembershipConfig::default(), faults);
     let checked = world.run(until, |w| match w.seen.last() {
         Some(s) if s.state == violetgate_membership::State::Dead => {
             Err(format!("{} members, seed {seed}: {s:?}", count))
@@ -41,15 +41,19 @@
     let at = |k: usize| 20 * S + k as u64 * 7 * S + (seed * 37_003 + k as u64 * 131_071) % S;
     let dying: Vec<(usize, Micros)> = (0..deaths).map(|k| ((k * 7 + seed as usize) % count, at(k))).collect();
     let faults = FaultPlan { jitter: 2_000, deaths: dying.clone(), ..FaultPlan::default() };
-    let mut world = World::new(count, seed, &Manner::default(), faults);
+    let mut world = World::new(count, seed, &MembershipConfig::default(), faults);
     let _ = world.run(at(deaths) + 8 * S, quiet);
     dying.iter().map(|(of, at)| world.last_to_know(*of, *at)).collect()
 }
 
 /// Bytes a second that a member sends in a quiet fleet.
 fn traffic(count: usize, seed: u64) -> f64 {
-    let mut world =
-        World::new(count, seed, &Manner::default(), FaultPlan { jitter: 2_000, ..FaultPlan::default() });
+    let mut world = World::new(
+        count,
+        seed,
+        &MembershipConfig::default(),
+        FaultPlan { jitter: 2_000, ..FaultPlan::default() },
+    );
     // All come at once; it is quiet once all hold the same.
     let quiet_from = (1..20).map(|k| k * 10 * S).find(|at| world.run(*at, quiet).is_ok() && world.agrees());
     let from = quiet_from.unwrap_or(200 * S) + 10 * S;
@@ -68,7 +72,7 @@
     let mut world = World::new(
         count,
         seed,
-        &Manner::default(),
+        &MembershipConfig::default(),
         FaultPlan { jitter: 2_000, cuts, ..FaultPlan::default() },
     );
     let _ = world.run(140 * S, quiet);
@@ -90,7 +94,7 @@
         end: heals,
     };
     let faults = FaultPlan { jitter: 2_000, cuts: vec![cut(&a, &b), cut(&b, &a)], ..FaultPlan::default() };
-    let mut world = World::new(count, seed, &Manner::default(), faults);
+    let mut world = World::new(count, seed, &MembershipConfig::default(), faults);
     let _ = world.run(heals, quiet);
     (1..=60).map(|k| heals + k * S / 2).find_map(|at| {
         let _ = world.run(at, quiet);
@@ -105,7 +109,7 @@
     let (a, b) = (seed as usize % count, (seed as usize / count + 1 + seed as usize) % count);
     let (a, b) = if a == b { (a, (a + 1) % count) } else { (a, b) };
     let faults = FaultPlan { jitter: 2_000, cuts: vec![cut(a, b), cut(b, a)], ..FaultPlan::default() };
-    let mut world = World::new(count, seed, &Manner::default(), faults);
+    let mut world = World::new(count, seed, &MembershipConfig::default(), faults);
     let _ = world.run(60 * S, quiet);
     let told = |x: usize, y: usize| world.links.iter().any(|l| l.1 == x && l.2 == y && l.3);
     (world.false_deaths(), told(a, b) || told(b, a))
--- a/tools/simulator/src/lib.rs
+++ b/tools/simulator/src/lib.rs
@@ -12,7 +12,9 @@
 use rand_chacha::rand_core::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustix::time::{clock_gettime, ClockId};
-use violetgate_membership::{Action, Claim, Manner, Member, Membership, Message, Micros, Name, State};
+use violetgate_membership::{
+    Action, Claim, Member, Membership, MembershipConfig, Message, Micros, Name, State,
+};
 
 use crate::faults::FaultIndex;
 pub use crate::faults::{Cut, FaultPlan};
@@ -104,11 +106,11 @@
 impl World {
     /// A fleet of so many, each of which knows the first three as seeds.
     #[must_use]
-    pub fn new(count: usize, seed: u64, manner: &Manner, faults: FaultPlan) -> Self {
+    pub fn new(count: usize, seed: u64, config: &MembershipConfig, faults: FaultPlan) -> Self {
         let seeds: Vec<SocketAddr> = (0..count.min(3)).map(addr).collect();
         let member = |i| {
             let own = seed.wrapping_mul(1_000_003).wrapping_add(i as u64);
-            Membership::new(manner.clone(), name(i), addr(i), 1_000, &seeds, own)
+            Membership::new(config.clone(), name(i), addr(i), 1_000, &seeds, own)
         };
         let mut world = World {
             faults: FaultIndex::new(faults, count),
@@ -135,8 +137,8 @@
 
     /// A fleet of so many that know each other already, as one that has been up for long.
     #[must_use]
-    pub fn settled_fleet(count: usize, seed: u64, manner: &Manner, faults: FaultPlan) -> Self {
-        let mut world = World::new(count, seed, manner, faults);
+    pub fn settled_fleet(count: usize, seed: u64, config: &MembershipConfig, faults: FaultPlan) -> Self {
+        let mut world = World::new(count, seed, config, faults);
         let claims: Vec<Claim> = world.members.iter().map(|member| member.own_claim().clone()).collect();
         if let Some((first, others)) = world.members.split_first_mut() {
             first.adopt_claims(&claims);
@@ -308,9 +310,9 @@
     }
 
     /// A process of that number starts anew, as a new life of its name, knowing only the seeds.
-    pub fn restart(&mut self, i: usize, manner: &Manner, life: Micros) {
+    pub fn restart(&mut self, i: usize, config: &MembershipConfig, life: Micros) {
         let seeds: Vec<SocketAddr> = (0..self.members.len().min(3)).map(addr).collect();
-        let new = Membership::new(manner.clone(), name(i), addr(i), life, &seeds, life ^ i as u64);
+        let new = Membership::new(config.clone(), name(i), addr(i), life, &seeds, life ^ i as u64);
         let (Some(member), Some(running)) = (self.members.get_mut(i), self.running.get_mut(i)) else {
             return;
         };
--- a/tools/simulator/src/load.rs
+++ b/tools/simulator/src/load.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use violetgate_membership::{Manner, Micros};
+use violetgate_membership::{MembershipConfig, Micros};
 
 use crate::{Cut, FaultPlan, World, S};
 
@@ -91,7 +91,7 @@
 struct Run {
     world: World,
     count: usize,
-    manner: Manner,
+    config: MembershipConfig,
     began: Micros,
     before: Vec<(u64, u64)>,
     second: Micros,
@@ -104,9 +104,9 @@
 
 /// Plays a case with so many members; it ends early once it has taken longer than `at_most`.
 #[must_use]
-pub fn play(case: Case, count: usize, manner: &Manner, seed: u64, at_most: Duration) -> Load {
+pub fn play(case: Case, count: usize, config: &MembershipConfig, seed: u64, at_most: Duration) -> Load {
     let (started, memory) = (Instant::now(), resident_bytes());
-    let mut run = Run::new(case, count, manner, seed, started + at_most);
+    let mut run = Run::new(case, count, config, seed, started + at_most);
     match case {
         Case::Rest => run.until(run.now() + 20 * S),
         Case::Change => change(&mut run),
@@ -161,11 +161,11 @@
 }
 
 impl Run {
-    fn new(case: Case, count: usize, manner: &Manner, seed: u64, ends: Instant) -> Self {
+    fn new(case: Case, count: usize, config: &MembershipConfig, seed: u64, ends: Instant) -> Self {
         let faults = FaultPlan { jitter: JITTER, ..FaultPlan::default() };
         let mut world = match case {
-            Case::Start => World::new(count, seed, manner, faults),
-            _ => World::settled_fleet(count, seed, manner, faults),
+            Case::Start => World::new(count, seed, config, faults),
+            _ => World::settled_fleet(count, seed, config, faults),
         };
         world.records = false;
         if case != Case::Start {
@@ -179,7 +179,7 @@
         Run {
             world,
             count,
-            manner: manner.clone(),
+            config: config.clone(),
             began,
             before: vec![(0, 0); count],
             second: began + S,
@@ -246,8 +246,8 @@
     fn restart(&mut self, i: usize) {
         // Lives are Unix microseconds; the first ones are 1,000.
         let life = 1_000 + self.now();
-        let manner = self.manner.clone();
-        self.world.restart(i, &manner, life);
+        let config = self.config.clone();
+        self.world.restart(i, &config, life);
     }
 
     fn restart_due(&mut self, away: &mut Vec<(Micros, usize)>) {
--- a/tools/simulator/tests/exchange.rs
+++ b/tools/simulator/tests/exchange.rs
@@ -4,19 +4,19 @@
 
 use serde::{Deserialize, Serialize};
 use violetgate_membership::{
-    Body, BucketSet, Claim, Manner, Message, State, ViewSums, Want, BUCKETS, LONGEST_NAME,
+    Body, BucketSet, Claim, MembershipConfig, Message, State, ViewSums, Want, BUCKETS, LONGEST_NAME,
 };
 use violetgate_simulator::{FaultPlan, World, S};
 
 /// Some start anew at once, and know only the seeds; others are there already: when all views are right, and the most bytes that one sent.
 fn join_at_once(there: usize, joining: usize, loss: f64, seed: u64) -> (u64, u64) {
-    let manner = Manner::default();
+    let config = MembershipConfig::default();
     let faults = FaultPlan { loss, jitter: 2_000, ..FaultPlan::default() };
-    let mut world = World::settled_fleet(there + joining, seed, &manner, faults);
+    let mut world = World::settled_fleet(there + joining, seed, &config, faults);
     world.records = false;
     world.run(5 * S, |_| Ok(())).unwrap();
     world.sent.iter_mut().for_each(|sent| *sent = (0, 0));
-    (there..there + joining).for_each(|i| world.restart(i, &manner, 1_000 + 5 * S));
+    (there..there + joining).for_each(|i| world.restart(i, &config, 1_000 + 5 * S));
     let known = (1..=60).map(|k| 5 * S + k * S / 2).find(|at| {
         world.run(*at, |_| Ok(())).unwrap();
         world.settled()
@@ -29,7 +29,7 @@
 fn a_join_of_300_at_once() {
     let (known, busiest) = join_at_once(50, 300, 0.0, 1);
     assert!(known <= 15 * S, "{known} us");
-    let budget = Manner::default().exchange_bytes_per_s;
+    let budget = MembershipConfig::default().exchange_bytes_per_s;
     let news = 30 * 1_400 * known / S;
     assert!(busiest <= budget * (4 + known / S) + news, "{busiest} bytes in {known} us");
 }
--- a/tools/simulator/tests/fleet.rs
+++ b/tools/simulator/tests/fleet.rs
@@ -2,11 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
-use violetgate_membership::{Manner, State};
+use violetgate_membership::{MembershipConfig, State};
 use violetgate_simulator::{name, number, Cut, FaultPlan, World, S};
 
 fn world(count: usize, seed: u64, faults: FaultPlan) -> World {
-    World::new(count, seed, &Manner::default(), faults)
+    World::new(count, seed, &MembershipConfig::default(), faults)
 }
 
 fn quiet(_: &World) -> Result<(), String> {
--- a/tools/simulator/tests/load.rs
+++ b/tools/simulator/tests/load.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use violetgate_membership::Manner;
+use violetgate_membership::MembershipConfig;
 use violetgate_simulator::load::{play, Case, Load};
 
 fn played(case: Case) -> Load {
-    play(case, 24, &Manner::default(), 7, Duration::from_secs(600))
+    play(case, 24, &MembershipConfig::default(), 7, Duration::from_secs(600))
 }
 
 /// The same seed gives the same counts.
--- a/tools/simulator/tests/model.rs
+++ b/tools/simulator/tests/model.rs
@@ -6,7 +6,7 @@
 use std::hash::{Hash, Hasher};
 
 use stateright::{Checker, Model, Property};
-use violetgate_membership::{Manner, State};
+use violetgate_membership::{MembershipConfig, State};
 use violetgate_simulator::{number, Cut, FaultPlan, World, S};
 
 /// Steps of a run, each of this length; trouble comes and goes between them.
@@ -71,7 +71,7 @@
     }
 }
 
-struct Three(Manner);
+struct Three(MembershipConfig);
 
 impl Model for Three {
     type State = Run;
@@ -176,14 +176,14 @@
     }
 }
 
-fn check(manner: Manner) -> (usize, Vec<&'static str>) {
-    let checker = Three(manner).checker().threads(4).spawn_bfs().join();
+fn check(config: MembershipConfig) -> (usize, Vec<&'static str>) {
+    let checker = Three(config).checker().threads(4).spawn_bfs().join();
     (checker.unique_state_count(), checker.discoveries().into_keys().collect())
 }
 
 #[test]
 fn three_members_in_every_order() {
-    let (states, wrong) = check(Manner::default());
+    let (states, wrong) = check(MembershipConfig::default());
     assert!(wrong.is_empty(), "{wrong:?}");
     assert!(states > 2_000, "{states}");
 }
@@ -193,8 +193,8 @@
     use super::*;
     use violetgate_membership::{Body, Claim, Message, Mutant};
 
-    fn mutant(how: Mutant) -> Manner {
-        Manner { mutant: Some(how), ..Manner::default() }
+    fn mutant(how: Mutant) -> MembershipConfig {
+        MembershipConfig { mutant: Some(how), ..MembershipConfig::default() }
     }
 
     /// Each wrong build is found out by a property of the model.
@@ -213,23 +213,23 @@
     /// anything, if it does not doubt itself.
     #[test]
     fn a_sleeper_without_doubt_is_caught() {
-        let accused = |manner: &Manner, of: usize| {
+        let accused = |config: &MembershipConfig, of: usize| {
             let others: Vec<usize> = (1..9).collect();
             let cuts = vec![Cut { from: others, to: vec![0], begin: 10 * S + S / 2, end: 19 * S + S / 20 }];
             let pauses = vec![(of, 8 * S, 10 * S + 3 * S / 4), (0, 10 * S + S / 2, 19 * S)];
-            let mut w = World::new(9, 3, manner, FaultPlan { pauses, cuts, ..FaultPlan::default() });
+            let mut w = World::new(9, 3, config, FaultPlan { pauses, cuts, ..FaultPlan::default() });
             w.run(30 * S, |_| Ok(())).unwrap();
             w.seen.iter().filter(|s| s.by == 0 && s.state == State::Dead).count()
         };
-        let told = |manner: &Manner| (1..9).map(|of| accused(manner, of)).sum::<usize>();
-        assert_eq!(told(&Manner::default()), 0);
+        let told = |config: &MembershipConfig| (1..9).map(|of| accused(config, of)).sum::<usize>();
+        assert_eq!(told(&MembershipConfig::default()), 0);
         assert!(told(&mutant(Mutant::NoSelfDoubt)) > 0);
     }
 
     /// One that is cut off from all holds them for dead, if its word alone is enough.
     #[test]
     fn a_lone_judge_is_caught() {
-        let told = |manner: &Manner| {
+        let told = |config: &MembershipConfig| {
             let others: Vec<usize> = (1..9).collect();
             let cut = |from: &[usize], to: &[usize]| Cut {
                 from: from.to_vec(),
@@ -239,19 +239,19 @@
             };
             let faults =
                 FaultPlan { cuts: vec![cut(&[0], &others), cut(&others, &[0])], ..FaultPlan::default() };
-            let mut w = World::new(9, 4, manner, faults);
+            let mut w = World::new(9, 4, config, faults);
             w.run(39 * S, |_| Ok(())).unwrap();
             w.seen.iter().filter(|s| s.by == 0 && s.state == State::Dead).count()
         };
-        assert_eq!(told(&Manner::default()), 0);
+        assert_eq!(told(&MembershipConfig::default()), 0);
         assert!(told(&mutant(Mutant::LoneJudge)) > 0);
     }
 
     /// A claim of an earlier turn, or of an earlier life, that comes late does not bring a dead one back.
     #[test]
     fn late_claims_are_caught() {
-        let back = |manner: &Manner, life: u64| {
-            let mut w = World::new(5, 6, manner, FaultPlan::default());
+        let back = |config: &MembershipConfig, life: u64| {
+            let mut w = World::new(5, 6, config, FaultPlan::default());
             w.run(5 * S, |_| Ok(())).unwrap();
             let own = |i: usize| w.view((i + 1) % 5).find(|m| number(&m.name) == i).unwrap();
             let (first, four) = (own(1), own(4));
@@ -272,7 +272,7 @@
             let back = w.view(0).any(|m| number(&m.name) == 4 && m.state != State::Dead);
             back
         };
-        assert!(!back(&Manner::default(), 1_000) && !back(&Manner::default(), 500));
+        assert!(!back(&MembershipConfig::default(), 1_000) && !back(&MembershipConfig::default(), 500));
         assert!(back(&mutant(Mutant::AnyTurn), 1_000));
         assert!(back(&mutant(Mutant::AnyLife), 500));
     }
--- a/violetgate/src/daemon/mod.rs
+++ b/violetgate/src/daemon/mod.rs
@@ -20,7 +20,7 @@
     Answered, Call, Cluster, FleetTotals, InForce, ObserverConfig, ObserverService, Options, Status,
 };
 use violetgate_consensus::{Config, NodeId, Rejected, Role};
-use violetgate_member::{Answer, Manner};
+use violetgate_member::{Answer, MemberConfig};
 use violetgate_state::{Outcome, Refused, Revision, Step, Store, Txn};
 
 use crate::fence::Fence;
@@ -102,7 +102,7 @@
             heartbeat: micros(given.heartbeat),
             ..Config::default()
         };
-        let manner = Manner {
+        let config = MemberConfig {
             core,
             snapshot_every: given.snapshot_every,
             drain_limit: micros(given.drain_limit),
@@ -114,7 +114,7 @@
             folder: given.folder.clone(),
             listen: given.listen,
             members: given.addresses(),
-            manner,
+            config,
             seed,
         };
         let cluster = Cluster::start(executor, &options).map_err(|e| {
--- a/violetgate/src/fleet.rs
+++ b/violetgate/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use async_executor::LocalExecutor;
 use violetgate_fleet_link::{Link, News, Options};
-use violetgate_membership::{Manner, Member, ShareManner, State};
+use violetgate_membership::{Member, MembershipConfig, SharesConfig, State};
 
 use crate::clock::Clock;
 use crate::dispatch::Dispatch;
@@ -49,13 +49,13 @@
             listen: given.listen,
             address: given.reached_at(),
             seeds: given.seeds.clone(),
-            manner: Manner {
+            config: MembershipConfig {
                 probe_every: micros(given.probe_every),
                 reply: micros(given.reply_within),
                 suspect_for: micros(given.suspect_for),
-                ..Manner::default()
+                ..MembershipConfig::default()
             },
-            shares: ShareManner { told, settle: micros(given.settle), step: micros(given.step) },
+            shares: SharesConfig { told, settle: micros(given.settle), step: micros(given.step) },
             life: clock.now(),
             seed,
         };
