--- a/violetgate/src/exchange.rs
+++ b/violetgate/src/exchange.rs
@@ -205,7 +205,7 @@
 
 /// What the core may ask of an engine protocol.
 pub trait Engines {
-    /// Starts an attempt. Its end comes through [`Reports`], unless it is cancelled first.
+    /// Starts an attempt. Its end comes through `Reports`, unless it is cancelled first.
     fn send(&self, attempt: Attempt);
     /// Gives an attempt up; nothing more is told of it. False: the engine surely never saw it.
     fn cancel(&self, query: QueryId) -> bool;
