Show the event bus's bytes only where a cluster or a fleet has figures

Cause: the figures of every front end got two lines whose numbers depend on time; the recorded exchange 'figures' failed on them, rightly, as nothing may change where no block is set. Change: they stand beside a cluster's or a fleet's figures, with HELP and TYPE.

--- a/violetgate/src/operations.rs
+++ b/violetgate/src/operations.rs
@@ -121,6 +121,19 @@
     }
 }
 
+impl Operations {
+    /// What the event bus costs, beside the figures of a cluster or a fleet.
+    fn bus_figures(&self) -> String {
+        let (sent, received) = self.parts.place.traffic();
+        format!(
+            "# HELP svc_bus_sent_bytes_total Bytes sent to the event bus.\n\
+             # TYPE svc_bus_sent_bytes_total counter\nsvc_bus_sent_bytes_total {sent}\n\
+             # HELP svc_bus_received_bytes_total Bytes received from the event bus.\n\
+             # TYPE svc_bus_received_bytes_total counter\nsvc_bus_received_bytes_total {received}\n"
+        )
+    }
+}
+
 impl admin::Operations for Operations {
     fn healthy(&self) -> bool {
         let heard = self.parts.place.heard() || self.clock.now() >= self.start + WAIT.as_micros() as Micros;
@@ -129,10 +142,9 @@
 
     fn figures(&self) -> String {
         let (known, skipped) = self.parts.dispatch.listed();
-        let (sent, received) = self.parts.place.traffic();
-        let bus = format!("svc_bus_sent_bytes_total {sent}\nsvc_bus_received_bytes_total {received}\n");
+        let shares_control = self.parts.daemon.is_some() || self.parts.fleet.is_some();
         self.parts.stats.text(known, skipped)
-            + &bus
+            + &shares_control.then(|| self.bus_figures()).unwrap_or_default()
             + &self.parts.rest.as_ref().map(|r| r.figures()).unwrap_or_default()
             + &self.parts.daemon.as_ref().map(|d| d.figures()).unwrap_or_default()
             + &self.parts.fleet.as_ref().map(|f| f.figures()).unwrap_or_default()
