Write the choice of the bus's figures as a plain if

Cause: clippy refuses bool::then with unwrap_or_default. Change: the same choice as an if; what is shown is the same.

--- a/violetgate/src/operations.rs
+++ b/violetgate/src/operations.rs
@@ -143,8 +143,9 @@
     fn figures(&self) -> String {
         let (known, skipped) = self.parts.dispatch.listed();
         let shares_control = self.parts.daemon.is_some() || self.parts.fleet.is_some();
+        let bus = if shares_control { self.bus_figures() } else { String::new() };
         self.parts.stats.text(known, skipped)
-            + &shares_control.then(|| self.bus_figures()).unwrap_or_default()
+            + &bus
             + &self.parts.rest.as_ref().map(|r| r.figures()).unwrap_or_default()
             + &self.parts.daemon.as_ref().map(|d| d.figures()).unwrap_or_default()
             + &self.parts.fleet.as_ref().map(|f| f.figures()).unwrap_or_default()
