Record all that is sent and answered, restart all members in case 1, and measure again

Cause: case 1 stopped at the second member, so the third could still have returned its copy, and recorded its changes in sum only; case 3 recorded only the failed answers.

--- a/review/stand-ins/src/bin/restart_after_growth.rs
+++ b/review/stand-ins/src/bin/restart_after_growth.rs
@@ -36,7 +36,13 @@
 
 /// Makes changes until all are made. Each operator has keys of its own, so the last acknowledged
 /// value of a key is known.
-fn operate(operator: usize, api: std::net::SocketAddr, next: &AtomicUsize, done: &Acknowledged) {
+fn operate(
+    operator: usize,
+    api: std::net::SocketAddr,
+    next: &AtomicUsize,
+    done: &Acknowledged,
+    record: &Record,
+) {
     let Ok(mut connection) = Connection::open(api, Duration::from_secs(10)) else {
         return;
     };
@@ -53,6 +59,9 @@
         let sent = connection.send("PUT", &format!("/v1/state?key={key}"), &value);
         match sent.and_then(|()| connection.receive()) {
             Ok((200, _)) => {
+                record.line(&format!(
+                    "operator {operator}: PUT {key} = change {number}: 200"
+                ));
                 done.lock().unwrap().insert(key, value);
             }
             other => {
@@ -64,14 +73,23 @@
 }
 
 /// Reads a key at any of the members, and returns whether it has the value.
-fn is_readable(apis: &[std::net::SocketAddr], key: &str, value: &str) -> bool {
+fn is_readable(apis: &[std::net::SocketAddr], key: &str, value: &str, record: &Record) -> bool {
     apis.iter().any(|api| {
         let read = || {
             let mut connection = Connection::open(*api, Duration::from_secs(8))?;
             connection.send("GET", &format!("/v1/state?key={key}&within_ms=3000"), "")?;
             connection.receive()
         };
-        matches!(read(), Ok((200, body)) if body.contains(value))
+        let answer = read();
+        let has_value = matches!(&answer, Ok((200, body)) if body.contains(value));
+        let answer = match answer {
+            Ok((status, _)) => status.to_string(),
+            Err(error) => error.to_string(),
+        };
+        record.line(&format!(
+            "GET {key} at {api}: {answer}, the acknowledged value: {has_value}"
+        ));
+        has_value
     })
 }
 
@@ -145,7 +163,8 @@
     let operators: Vec<_> = (0..OPERATORS)
         .map(|operator| {
             let (next, done, api) = (Arc::clone(&next), Arc::clone(&done), apis[operator % 3]);
-            std::thread::spawn(move || operate(operator, api, &next, &done))
+            let record = record.clone();
+            std::thread::spawn(move || operate(operator, api, &next, &done, &record))
         })
         .collect();
     for operator in operators {
@@ -202,24 +221,18 @@
                     READY_WITHIN.as_secs()
                 ));
             }
-            if failed == 2 {
-                record.say("two of three members have failed: there is no majority any more");
-                break;
-            }
         }
     }
-    let lost = if failed >= 2 {
-        // No member can answer. Three keys are read to show it.
-        done.iter()
-            .take(3)
-            .filter(|(key, value)| !is_readable(&apis, key, value))
-            .count()
-    } else {
-        done.iter()
-            .filter(|(key, value)| !is_readable(&apis, key, value))
-            .count()
-    };
-    record.say(&format!("members that did not come back: {failed}; acknowledged values that no member returns: {lost}"));
+    // If a member has failed, three keys are enough to show whether the values are still there.
+    let keys = if failed > 0 { 3 } else { KEYS };
+    let lost = done
+        .iter()
+        .take(keys)
+        .filter(|(key, value)| !is_readable(&apis, key, value, &record))
+        .count();
+    record.say(&format!(
+        "members that did not come back: {failed} of 3; values that no member returns: {lost} of {keys} read"
+    ));
     for gateway in &gateways {
         gateway.copy_log(&["violetgate:", "fence", "leader"]);
     }
--- a/review/stand-ins/src/bin/stale_engine_list.rs
+++ b/review/stand-ins/src/bin/stale_engine_list.rs
@@ -73,7 +73,10 @@
                  SELECT day, route, note FROM sales_{}.plan", number % 5
             );
             match session.query(&sql) {
-                Ok(Answer::Served(_)) => served += 1,
+                Ok(Answer::Served(_)) => {
+                    record.line(&format!("client: {rid} served"));
+                    served += 1;
+                }
                 Ok(answer) => record.line(&format!("client: {rid} got {answer:?}")),
                 Err(error) => {
                     record.line(&format!("client: {rid} lost: {error}"));
