--- a/cluster/raft-storage/src/record.rs
+++ b/cluster/raft-storage/src/record.rs
@@ -7,10 +7,9 @@
 
 /// The size of a record's header, in bytes: the length and the checksum.
 const HEADER_BYTES: usize = 8;
-/// The maximum size of a record's content, in bytes. A longer record is treated as damaged.
-const MAX_CONTENT_BYTES: usize = 64 << 20;
 
-/// Encodes a value as a record: header and content.
+/// Encodes a value as a record: header and content. Fails if the content is longer than the length
+/// field can express. That is the only limit, so every record that was written can be read.
 pub(crate) fn encode(value: &impl Serialize) -> Result<Vec<u8>, StorageError> {
     let content = postcard::to_stdvec(value).map_err(Corruption::Encoding)?;
     let length = u32::try_from(content.len()).map_err(Corruption::RecordTooLong)?;
@@ -43,9 +42,7 @@
         let (length, rest) = bytes.split_first_chunk()?;
         let (stored_checksum, rest) = rest.split_first_chunk()?;
         let length = u32::from_le_bytes(*length);
-        let content = rest
-            .get(..length as usize)
-            .filter(|content| content.len() <= MAX_CONTENT_BYTES)?;
+        let content = rest.get(..length as usize)?;
         // An empty record is invalid, so that zeros with which the operating system has extended a
         // file are never read as records.
         let is_valid =
