--- a/cluster/replicated-state/src/store.rs
+++ b/cluster/replicated-state/src/store.rs
@@ -1,11 +1,12 @@
 //! The replicated store: keys and values with revisions, leases, and the outcomes of requests.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
 
 use crate::{Command, CommandError, CurrentValue, Micros, Operation, Outcome, Revision};
 
+mod change_log;
 mod idempotency;
 mod leases;
 mod revisions;
@@ -16,6 +17,7 @@
 pub use transactions::{MAX_KEY_BYTES, MAX_TXN_LENGTH, MAX_VALUE_BYTES};
 pub use watches::KeyChange;
 
+use change_log::ChangeLog;
 use idempotency::RequestOutcomes;
 use revisions::Version;
 use transactions::LiveSize;
@@ -34,8 +36,7 @@
     /// The versions of each key that can still be read, oldest first.
     keys: BTreeMap<String, Vec<Version>>,
     live_size: LiveSize,
-    /// The change log, oldest first.
-    changes: VecDeque<KeyChange>,
+    changes: ChangeLog,
     /// The expiry time of each lease by its id, in microseconds.
     leases: BTreeMap<u64, Micros>,
     requests: RequestOutcomes,
--- a/cluster/replicated-state/src/store/revisions.rs
+++ b/cluster/replicated-state/src/store/revisions.rs
@@ -7,9 +7,6 @@
 use super::Store;
 use crate::{CurrentValue, KeyValue, Revision};
 
-/// Maximum number of changes in the history. If there are more, compaction discards the oldest.
-const MAX_CHANGES: usize = 100_000;
-
 /// The value of a key from one revision until the key's next version.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(super) struct Version {
@@ -99,13 +96,10 @@
         Ok(())
     }
 
-    /// Compacts the history until it has at most [`MAX_CHANGES`] changes.
+    /// Compacts the history until the change log is within its limits.
     pub(super) fn limit_history(&mut self) {
-        while self.changes.len() > MAX_CHANGES {
-            let Some(oldest) = self.changes.front().map(|change| change.revision) else {
-                break;
-            };
-            self.compact(oldest);
+        if let Some(revision) = self.changes.revision_to_compact() {
+            self.compact(revision);
         }
     }
 
@@ -117,14 +111,7 @@
         self.first_revision = revision;
         // Only keys that changed at or before `revision` can have versions to discard: a version
         // that a later one replaced, or a deletion.
-        while self
-            .changes
-            .front()
-            .is_some_and(|change| change.revision <= revision)
-        {
-            let Some(change) = self.changes.pop_front() else {
-                break;
-            };
+        while let Some(change) = self.changes.pop_up_to(revision) {
             self.compact_key(&change.key, revision);
         }
     }
@@ -135,9 +122,8 @@
         };
         // The latest of the versions up to the revision is still valid at that revision.
         let valid = versions
-            .iter()
-            .rposition(|version| version.revision <= revision)
-            .unwrap_or(0);
+            .partition_point(|version| version.revision <= revision)
+            .saturating_sub(1);
         versions.drain(..valid);
         let is_obsolete = |only: &Version| only.value.is_none() && only.revision <= revision;
         let is_deleted = matches!(versions.as_slice(), [only] if is_obsolete(only));
--- a/cluster/replicated-state/src/store/transactions.rs
+++ b/cluster/replicated-state/src/store/transactions.rs
@@ -110,7 +110,8 @@
                 Mutation::Delete(key) if self.get(key).is_none() => continue,
                 Mutation::Delete(key) => (key, None),
             };
-            self.log_change(KeyChange {
+            self.changes.remove(revision, key);
+            self.changes.push(KeyChange {
                 revision,
                 key: key.clone(),
                 value: value.as_ref().map(|value| value.bytes.clone()),
--- a/cluster/replicated-state/src/store/watches.rs
+++ b/cluster/replicated-state/src/store/watches.rs
@@ -37,11 +37,8 @@
         limit: usize,
     ) -> Result<Vec<KeyChange>, Compacted> {
         self.ensure_available(after)?;
-        let start = self
-            .changes
-            .partition_point(|change| change.revision <= after);
         let mut matching: Vec<KeyChange> = Vec::new();
-        let later = self.changes.range(start..);
+        let later = self.changes.after(after);
         for change in later.filter(|change| change.key.starts_with(prefix)) {
             let is_full = matching.len() >= limit.max(1);
             let begins_revision = matching
@@ -54,17 +51,4 @@
         }
         Ok(matching)
     }
-
-    /// Adds a change to the log. It replaces an earlier change of the same key in the same
-    /// revision.
-    pub(super) fn log_change(&mut self, change: KeyChange) {
-        let start = self
-            .changes
-            .partition_point(|other| other.revision < change.revision);
-        let mut same_revision = self.changes.range(start..);
-        if let Some(offset) = same_revision.position(|other| other.key == change.key) {
-            self.changes.remove(start + offset);
-        }
-        self.changes.push_back(change);
-    }
 }
