--- a/cluster/replica/src/replica.rs
+++ b/cluster/replica/src/replica.rs
@@ -219,6 +219,7 @@
             self.respond(proposal.call, response);
         }
         self.applied = entry.position();
+        self.snapshots.count_applied(&entry);
         self.snapshot_if_due();
     }
 
--- a/cluster/replica/src/snapshots.rs
+++ b/cluster/replica/src/snapshots.rs
@@ -13,6 +13,10 @@
 /// The maximum total size of a received snapshot without its last chunk, in bytes.
 const MAX_SNAPSHOT_BYTES: usize = 1 << 30;
 
+/// The size of the applied log since the latest snapshot, in bytes, at which another snapshot is
+/// due whatever the number of entries. If the latest snapshot is larger, its size counts instead.
+const MIN_LOG_BYTES: usize = 64 << 20;
+
 /// A snapshot of the store.
 #[derive(Debug, Clone)]
 struct Snapshot {
@@ -30,6 +34,8 @@
     saving: Option<Snapshot>,
     /// The bytes received so far of the leader's snapshot.
     received: Vec<u8>,
+    /// The approximate size of the entries applied since the latest snapshot was taken, in bytes.
+    log_bytes: usize,
 }
 
 impl Snapshots {
@@ -39,9 +45,20 @@
             latest: Snapshot { metadata, state },
             saving: None,
             received: Vec::new(),
+            log_bytes: 0,
         }
     }
 
+    /// Counts an applied entry.
+    pub(crate) fn count_applied(&mut self, entry: &Entry) {
+        self.log_bytes += entry.payload.approximate_bytes();
+    }
+
+    /// Returns whether the log is so large that it has to be replaced by a snapshot.
+    fn is_log_full(&self) -> bool {
+        self.log_bytes >= MIN_LOG_BYTES.max(self.latest.state.len())
+    }
+
     /// Returns at most [`MAX_CHUNK_BYTES`] of the latest snapshot, starting at `offset`.
     fn chunk(&self, offset: u64) -> SnapshotChunk {
         let Snapshot { metadata, state } = &self.latest;
@@ -64,11 +81,12 @@
 
 impl Replica {
     /// Starts to save a snapshot if `snapshot_interval` entries were applied since the latest one
-    /// and no snapshot is being saved.
+    /// or their size requires one, and no snapshot is being saved.
     pub(crate) fn snapshot_if_due(&mut self) {
         let latest = self.snapshots.latest.metadata.index;
         let since = self.applied.index.saturating_sub(latest);
-        if since < self.config.snapshot_interval || self.snapshots.saving.is_some() {
+        let is_due = since >= self.config.snapshot_interval || self.snapshots.is_log_full();
+        if !is_due || self.snapshots.saving.is_some() {
             return;
         }
         let metadata = SnapshotMetadata {
@@ -77,6 +95,7 @@
             membership: self.raft.log().membership_at(self.applied.index),
         };
         let state = Rc::new(self.store.to_snapshot());
+        self.snapshots.log_bytes = 0;
         self.snapshots.saving = Some(Snapshot {
             metadata: metadata.clone(),
             state: Rc::clone(&state),
@@ -139,6 +158,7 @@
                 state,
             };
             self.snapshots.saving = None;
+            self.snapshots.log_bytes = 0;
             self.raft.snapshot_installed(from, metadata);
             self.complete_reads();
         }
