--- a/cluster/state-distribution/src/observer/batch.rs
+++ b/cluster/state-distribution/src/observer/batch.rs
@@ -4,12 +4,17 @@
 
 use crate::message::{
     ChangeBatch, EntryChange, ObserverMessage, SnapshotChunk, SnapshotCursor, SnapshotEntry,
+    MAX_MESSAGE_BYTES,
 };
 
 /// The number of changes or entries that are read from the store at a time.
 const READ_LIMIT: usize = 64;
-/// The estimated encoded size of an entry besides its key and value, in bytes.
+/// The maximum encoded size of an entry besides its key and value, in bytes.
 const ENTRY_OVERHEAD_BYTES: usize = 16;
+/// The maximum encoded size of a batch besides its entries, in bytes.
+const BATCH_OVERHEAD_BYTES: usize = 64;
+/// The maximum size of the entries of a batch that fits into one message, in bytes.
+const MAX_BATCH_BYTES: usize = MAX_MESSAGE_BYTES - BATCH_OVERHEAD_BYTES;
 
 /// A batch of changes and the approximate size of its entries.
 #[derive(Debug, Clone)]
@@ -28,6 +33,11 @@
 /// Returns the next batch of changes after a revision, or `None` if there are no changes. A batch
 /// holds at least one revision and ends with the revision at which it reaches `max_bytes`. It ends
 /// earlier if the read from the store, which [`READ_LIMIT`] limits, returns fewer changes.
+///
+/// # Errors
+///
+/// Returns [`Compacted`] if the changes can't be sent: the history no longer holds them, or one
+/// revision is larger than a message. The subscriber then needs a snapshot, which has any size.
 pub(super) fn changes_after(
     store: &Store,
     after: Revision,
@@ -42,6 +52,10 @@
         }
         to = change.revision;
         bytes += entry_bytes(&change.key, change.value.as_deref());
+        if bytes > MAX_BATCH_BYTES {
+            let first_revision = to;
+            return Err(Compacted { first_revision });
+        }
         changes.push(entry_change(change));
     }
     if changes.is_empty() {
--- a/cluster/state-distribution/tests/pair/mod.rs
+++ b/cluster/state-distribution/tests/pair/mod.rs
@@ -15,13 +15,19 @@
     pub connection: u64,
     pub reads: Vec<ReadId>,
     pub chunks: usize,
+    /// The size of the longest message of the observer, in bytes.
+    pub longest_message: usize,
 }
 
 impl Pair {
     pub fn new(store: Store) -> Self {
+        Self::with_chunk_bytes(store, 100)
+    }
+
+    pub fn with_chunk_bytes(store: Store, chunk_bytes: usize) -> Self {
         let subscriber = SubscriberConfig::default_for("c", "one", vec![1]);
         let observer_config = ObserverConfig {
-            chunk_bytes: 100,
+            chunk_bytes,
             ..ObserverConfig::default_for("c", 1)
         };
         Pair {
@@ -32,6 +38,7 @@
             connection: 0,
             reads: Vec::new(),
             chunks: 0,
+            longest_message: 0,
         }
     }
 
@@ -80,6 +87,8 @@
                 connection,
                 message,
             } => {
+                let bytes = postcard::to_stdvec(&message).map_or(usize::MAX, |bytes| bytes.len());
+                self.longest_message = self.longest_message.max(bytes);
                 self.chunks += usize::from(matches!(message, ObserverMessage::SnapshotChunk(_)));
                 self.subscriber.receive(self.now, 1, message);
                 self.observer.bytes_queued(connection, 0, &self.store);
