Read a file of cordons as long as it was written

A gateway with more than 256 KiB of names of cordoned engines forgot all of them at its next start, and sent to them.

Cause: the file was written at any length, and read up to 256 KiB; what is cut off counts as corrupt.

Evidence: the new test fails on the code before ("EOF while parsing a string" at byte 262,144 of 12,001 names).

Change: one limit of 4 MiB for both ends. Longer content is not written, and the log says so with the lengths; the change then takes effect in this process only, as with any failed write.

Why it works: what is in the file is never longer than what is read of it.

Measured: cordon_file::tests, 4 of 4.

--- a/gateway/src/cordon_file.rs
+++ b/gateway/src/cordon_file.rs
@@ -11,9 +11,9 @@
 
 use crate::log;
 
-/// The maximum number of bytes that are read from the file. A longer file is cut off, and so it
-/// counts as corrupt.
-const MAX_FILE_BYTES: u64 = 256 * 1024;
+/// The maximum size of the file, in bytes. Longer content is not written, and a longer file counts
+/// as corrupt.
+const MAX_FILE_BYTES: usize = 4 << 20;
 /// The pause before the lock is tried again.
 const LOCK_RETRY_INTERVAL: Duration = Duration::from_millis(1);
 /// The maximum number of retries; after them, the change is made without the lock. A process holds
@@ -56,7 +56,7 @@
         };
         let mut text = String::new();
         match File::open(path) {
-            Ok(file) => file.take(MAX_FILE_BYTES).read_to_string(&mut text)?,
+            Ok(file) => file.take(MAX_FILE_BYTES as u64).read_to_string(&mut text)?,
             Err(error) if error.kind() == std::io::ErrorKind::NotFound => return Ok(None),
             Err(error) => return Err(error),
         };
@@ -126,7 +126,17 @@
 /// the complete new content or the old one.
 fn write(path: &Path, names: &EngineNames) -> std::io::Result<()> {
     let new = with_suffix(path, ".new");
-    std::fs::write(&new, serde_json::to_vec(names)?)?;
+    let text = serde_json::to_vec(names)?;
+    if text.len() > MAX_FILE_BYTES {
+        let length = text.len();
+        let detail =
+            format!("{length} bytes, {MAX_FILE_BYTES} at most: lift cordons of old engines");
+        return Err(std::io::Error::new(
+            std::io::ErrorKind::FileTooLarge,
+            detail,
+        ));
+    }
+    std::fs::write(&new, text)?;
     std::fs::rename(&new, path)
 }
 
--- a/gateway/src/cordon_file/tests.rs
+++ b/gateway/src/cordon_file/tests.rs
@@ -42,6 +42,22 @@
     std::fs::remove_dir_all(&folder).unwrap();
 }
 
+/// Guards against cordons that are lost at the next start because more were written than are read.
+#[test]
+fn as_many_cordons_as_are_written_are_read() {
+    let folder = std::env::temp_dir().join(format!("violetgate-{}-large", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = CordonFile::new(Some(folder.join("cordons")));
+    let long_name = |number: usize| format!("{number:0>64}");
+    let fleet: EngineNames = (0..12_000).map(long_name).collect();
+    let stored = file.update(&fleet, "s-1", CordonChange::Add);
+    assert_eq!(file.load().unwrap(), Some(stored.clone()));
+    let too_many: EngineNames = (0..80_000).map(long_name).collect();
+    write(&folder.join("cordons"), &too_many).unwrap_err();
+    assert_eq!(file.load().unwrap(), Some(stored));
+    std::fs::remove_dir_all(&folder).unwrap();
+}
+
 /// If there is no path, or its folder doesn't exist, a change still takes effect in this process.
 #[test]
 fn without_a_writable_folder_a_change_still_holds_here() {
