Hold a client's repeat of a key to the window and group of what was sent before

Cause: a repeat has a new request id, so decisions and dispatcher took it for a new query. Window and group were held for the attempts of one request id only; the idempotency layer checked the window when the repeat arrived and never again, and the group not at all. Without REST nothing was checked.

The new test over both protocols fails on: the repeat is answered 200 where 409 is right.

Change: `SentKeys` in the dispatcher remembers for which keys attempts are out or may have run. A request that repeats a key brings that along (`NewQuery::earlier_run`); requests of a key that are open together hear of each other's attempts (`Event::DuplicateSent`). The decisions then treat the query like one that has had an attempt itself: `check_send`, `give_up_at` and `begin_by` hold as for a retry. A repeat whose window ends is answered OutcomeUnknown (409, 58000). Repeats that can't be taken are rejected only where a retry elsewhere is harmless, and fail otherwise.

Why it works: each send passes `check_send` and `begin_by`, which now know of the first attempt, whichever request made it and whatever the repeat waits for. Time and group come from the send itself, not from the repeat's arrival. What never ran is forgotten again.

--- a/gateway/src/dispatch/attempts.rs
+++ b/gateway/src/dispatch/attempts.rs
@@ -1,11 +1,14 @@
 //! Starts and cancels attempts, and reports the end of each attempt to the decisions exactly once.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 
-use violetgate_policy::interface::{AttemptEnded, EngineId, LoadReport, Micros, Outcome, QueryId};
+use violetgate_policy::interface::{
+    AttemptEnded, EngineId, LoadReport, Micros, Outcome, PossibleRun, QueryId,
+};
 use violetgate_policy::Event;
 
-use super::open_request::AttemptInFlight;
+use super::open_request::{AttemptInFlight, OpenRequest};
 use super::timers::TimerEvent;
 use super::Dispatch;
 use crate::exchange::{
@@ -23,12 +26,14 @@
             return;
         };
         let number = request.attempts;
+        let may_have_run = request.may_have_run();
         request.attempts += 1;
         let deadline = attempt_deadline(request.exchange.request.deadline(), now, timeout);
         let may_send = self.check_fence();
         if !may_send {
             let rejection = Answer::StateUnconfirmed;
-            request.answer(rejection_or_failure(request.idempotency, number, rejection));
+            let answer = rejection_or_failure(request.idempotency, may_have_run, rejection);
+            request.answer(answer);
         }
         if request.is_answered || request.in_flight.is_some() || deadline <= now {
             let end = AttemptEnded {
@@ -57,6 +62,7 @@
             begin_by: request.begin_by(deadline),
             deadline,
         };
+        self.mark_duplicates(&mut open, query, engine, now);
         drop(open);
         let timer = TimerEvent::AttemptDeadline {
             query,
@@ -66,6 +72,34 @@
         self.engines.send(attempt);
     }
 
+    /// Records that an attempt of a request is sent, and tells the decisions which other open
+    /// requests are duplicates of it.
+    fn mark_duplicates(
+        &self,
+        open: &mut HashMap<QueryId, OpenRequest>,
+        query: QueryId,
+        engine: EngineId,
+        sent_at: Micros,
+    ) {
+        let Some(key) = open.get(&query).and_then(OpenRequest::dedup_key) else {
+            return;
+        };
+        let Some(location) = self.decisions.borrow().engine_location(engine) else {
+            return;
+        };
+        let run = PossibleRun { location, sent_at };
+        let duplicates = self.sent_keys.borrow_mut().sent(key, query, run);
+        for duplicate in duplicates {
+            if let Some(request) = open.get_mut(&duplicate) {
+                request.record_possible_run(sent_at);
+            }
+            self.queue(Event::DuplicateSent {
+                query: duplicate,
+                run,
+            });
+        }
+    }
+
     /// Cancels an attempt at the request of the decisions.
     pub(super) fn cancel_attempt(&self, query: QueryId, attempt: u32) {
         self.abort_attempt(query, attempt, Outcome::Cancelled);
@@ -102,6 +136,25 @@
         }
     }
 
+    /// Records whether an attempt that has ended may have run.
+    fn record_end(&self, request: &mut OpenRequest, attempt: &AttemptInFlight, outcome: Outcome) {
+        if outcome.may_have_run() {
+            request.record_possible_run(attempt.sent_at);
+        }
+        let Some(key) = request.dedup_key() else {
+            return;
+        };
+        let query = request.exchange.id();
+        let mut sent_keys = self.sent_keys.borrow_mut();
+        if outcome.may_have_run() {
+            let window = request.dedup_window.unwrap_or(0);
+            let forgotten_at = self.clock.now().saturating_add(window);
+            sent_keys.may_have_run(key, query, forgotten_at);
+        } else {
+            sent_keys.never_ran(key, query);
+        }
+    }
+
     fn number_in_flight(&self, query: QueryId) -> Option<u32> {
         let open = self.open.borrow();
         let in_flight = open.get(&query)?.in_flight.as_ref()?;
@@ -132,14 +185,6 @@
     }
 }
 
-/// Returns whether an engine may have run an attempt that ended with `outcome`.
-fn may_have_run(outcome: Outcome) -> bool {
-    !matches!(
-        outcome,
-        Outcome::Overloaded | Outcome::ConnectionRefused | Outcome::NeverSent
-    )
-}
-
 impl AttemptEvents for Dispatch {
     fn attempt_progressed(&self, progress: AttemptProgress) {
         let AttemptProgress {
@@ -166,9 +211,7 @@
         let Some(attempt) = request.in_flight.take_if(is_same) else {
             return;
         };
-        if may_have_run(end.outcome) {
-            request.dedup_window_start = request.dedup_window_start.or(Some(attempt.sent_at));
-        }
+        self.record_end(request, &attempt, end.outcome);
         let timer = TimerEvent::AttemptDeadline {
             query: end.query,
             attempt: end.number,
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod open_request;
 mod recent_ids;
 mod request_sink;
+mod sent_keys;
 mod timers;
 
 use std::cell::{Cell, RefCell};
@@ -23,6 +24,7 @@
 use crate::fence::{rejection_or_failure, Fence};
 use open_request::{ClassProperties, OpenRequest};
 use recent_ids::RecentIds;
+use sent_keys::SentKeys;
 use timers::{TimerEvent, TimerQueue};
 
 /// Connects the client protocols, the decision module and the upstream side of one gateway.
@@ -40,6 +42,7 @@
     is_shut_down: Cell<bool>,
     open: RefCell<HashMap<QueryId, OpenRequest>>,
     recent_ids: RefCell<RecentIds>,
+    sent_keys: RefCell<SentKeys>,
     events: RefCell<VecDeque<Event>>,
     /// Whether `process_events` is running. Events that occur meanwhile are only queued.
     is_running: Cell<bool>,
@@ -71,6 +74,7 @@
             is_shut_down: Cell::new(false),
             open: RefCell::default(),
             recent_ids: RefCell::default(),
+            sent_keys: RefCell::default(),
             events: RefCell::new(VecDeque::from([Event::TimerFired])),
             is_running: Cell::new(false),
             timers: TimerQueue::default(),
@@ -134,8 +138,9 @@
             .collect();
         for id in affected {
             if let Some(request) = self.open.borrow().get(&id) {
+                let may_have_run = request.may_have_run();
                 let answer =
-                    rejection_or_failure(request.idempotency, request.attempts, rejection.clone());
+                    rejection_or_failure(request.idempotency, may_have_run, rejection.clone());
                 request.exchange.complete(answer);
             }
             self.withdraw(id);
@@ -197,9 +202,9 @@
             } => self.send(query, engine, timeout),
             Action::Cancel { query, attempt } => self.cancel_attempt(query, attempt),
             Action::Reject { query, retry_after } => {
-                self.answer(query, Answer::Rejected { retry_after });
+                self.answer_without_result(query, Answer::Rejected { retry_after });
             }
-            Action::Fail { query } => self.answer(query, Answer::Failed),
+            Action::Fail { query } => self.answer_without_result(query, Answer::Failed),
             Action::SetTimer { at } => self.timers.schedule(at, TimerEvent::Decisions),
             // The engine list is always subscribed to.
             Action::SubscribeEngineList => {}
@@ -223,6 +228,23 @@
         }
     }
 
+    /// Carries out the decision to give a request no result. If engines would no longer discard it
+    /// as a duplicate of an earlier request, its client is told so.
+    fn answer_without_result(&self, query: QueryId, answer: Answer) {
+        let open = self.open.borrow();
+        let now = self.clock.now();
+        let is_too_late = open
+            .get(&query)
+            .is_some_and(|request| request.is_outside_dedup_window(now));
+        drop(open);
+        let answer = if is_too_late {
+            Answer::OutcomeUnknown
+        } else {
+            answer
+        };
+        self.answer(query, answer);
+    }
+
     /// Answers a request. An attempt of which nothing has been written is recalled, so that it does
     /// not begin. Whether an attempt that has begun is cancelled is up to the decision module.
     fn answer(&self, query: QueryId, answer: Answer) {
@@ -241,7 +263,11 @@
 
     /// Closes a request that is answered or withdrawn and has no attempt in flight.
     fn close(&self, open: &mut HashMap<QueryId, OpenRequest>, query: QueryId) {
-        open.remove(&query);
+        let closed = open.remove(&query);
+        let key = closed.as_ref().and_then(OpenRequest::dedup_key);
+        if let Some(key) = key {
+            self.sent_keys.borrow_mut().closed(key, query);
+        }
         self.recent_ids.borrow_mut().add(query, self.clock.now());
     }
 
--- a/gateway/src/dispatch/open_request.rs
+++ b/gateway/src/dispatch/open_request.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use violetgate_policy::interface::{Class, EngineId, Idempotency, Micros};
+use violetgate_policy::interface::{Class, EngineId, Idempotency, Micros, PossibleRun};
 
 use crate::exchange::{Answer, Exchange};
 
@@ -41,7 +41,8 @@
     /// microseconds. `None`: they don't.
     pub dedup_window: Option<Micros>,
     /// When the first attempt that may have run was sent, in microseconds since the Unix epoch.
-    /// The deduplication window begins at this time.
+    /// The deduplication window begins at this time. Attempts of earlier requests with the same
+    /// idempotency key count.
     pub dedup_window_start: Option<Micros>,
     pub is_answered: bool,
     /// The number of attempts so far, which is also the number of the next attempt.
@@ -52,13 +53,19 @@
 }
 
 impl OpenRequest {
-    pub(super) fn new(exchange: Rc<Exchange>, class: ClassProperties) -> Self {
+    /// `earlier_run` are the attempts of earlier requests with the same idempotency key that may
+    /// have run.
+    pub(super) fn new(
+        exchange: Rc<Exchange>,
+        class: ClassProperties,
+        earlier_run: Option<PossibleRun>,
+    ) -> Self {
         let is_deduplicated = class.idempotency == Idempotency::Deduplicated;
         OpenRequest {
             exchange,
             idempotency: class.idempotency,
             dedup_window: class.dedup_window.filter(|_| is_deduplicated),
-            dedup_window_start: None,
+            dedup_window_start: earlier_run.map(|run| run.sent_at),
             is_answered: false,
             attempts: 0,
             priority: None,
@@ -74,6 +81,33 @@
         }
     }
 
+    /// Returns the idempotency key by which engines discard repeats of the request, if there is one.
+    pub(super) fn dedup_key(&self) -> Option<&str> {
+        if self.idempotency != Idempotency::Deduplicated {
+            return None;
+        }
+        self.exchange.request.idempotency_key.as_deref()
+    }
+
+    /// Records an attempt that may have run, of this request or of another one with its idempotency
+    /// key.
+    pub(super) fn record_possible_run(&mut self, sent_at: Micros) {
+        let start = self.dedup_window_start.unwrap_or(sent_at);
+        self.dedup_window_start = Some(start.min(sent_at));
+    }
+
+    /// Returns whether the request or another one with its idempotency key may have run.
+    pub(super) fn may_have_run(&self) -> bool {
+        self.attempts > 0 || self.dedup_window_start.is_some()
+    }
+
+    /// Returns whether the request was never sent and engines would no longer discard it, although
+    /// another request with its idempotency key may have run.
+    pub(super) fn is_outside_dedup_window(&self, now: Micros) -> bool {
+        let dedup_window = self.dedup_window_start.zip(self.dedup_window);
+        self.attempts == 0 && dedup_window.is_some_and(|(start, length)| now >= start + length)
+    }
+
     /// Returns the time by which an attempt with this deadline has to begin, in microseconds since
     /// the Unix epoch. An attempt may wait for a connection. It must not begin after the
     /// deduplication window, because the engine would then run the request a second time.
--- a/gateway/src/dispatch/request_sink.rs
+++ b/gateway/src/dispatch/request_sink.rs
@@ -2,22 +2,56 @@
 
 use std::rc::Rc;
 
-use violetgate_policy::interface::{Micros, NewQuery, QueryId};
+use violetgate_policy::interface::{Idempotency, Micros, NewQuery, PossibleRun, QueryId};
 use violetgate_policy::Event;
 
-use super::open_request::OpenRequest;
+use super::open_request::{ClassProperties, OpenRequest};
+use super::sent_keys::TooManyKeys;
 use super::Dispatch;
-use crate::exchange::{Answer, Exchange, RequestIdInUse, RequestSink};
+use crate::exchange::{Answer, Exchange, Request, RequestIdInUse, RequestSink};
+use crate::fence::rejection_or_failure;
+
+/// The retry-after of a request that is rejected because too many idempotency keys are remembered,
+/// in microseconds.
+const TOO_MANY_KEYS_RETRY_AFTER_US: Micros = 1_000_000;
+
+impl Dispatch {
+    /// Returns the attempts of earlier requests with the same idempotency key that may have run and
+    /// that engines may remember.
+    fn earlier_run(&self, request: &Request, class: ClassProperties) -> Option<PossibleRun> {
+        let key = request.idempotency_key.as_deref()?;
+        if class.idempotency != Idempotency::Deduplicated {
+            return None;
+        }
+        self.sent_keys
+            .borrow_mut()
+            .earlier_run(key, self.clock.now())
+    }
+
+    /// Returns the rejection that every new request gets at the moment, if there is one.
+    fn rejection_of_all(&self) -> Option<Answer> {
+        if self.is_shut_down.get() {
+            return Some(Answer::ShuttingDown);
+        }
+        (!self.check_fence()).then_some(Answer::StateUnconfirmed)
+    }
+}
 
 impl RequestSink for Dispatch {
     fn submit(&self, exchange: &Rc<Exchange>) -> Result<(), RequestIdInUse> {
         let id = exchange.id();
-        if self.is_shut_down.get() {
-            exchange.complete(Answer::ShuttingDown);
-            return Ok(());
-        }
-        if !self.check_fence() {
-            exchange.complete(Answer::StateUnconfirmed);
+        let query = exchange.request.query.clone();
+        let class = self.classes.get(query.class as usize).copied();
+        let class = class.unwrap_or_default();
+        let earlier_run = self.earlier_run(&exchange.request, class);
+        let request = OpenRequest::new(Rc::clone(exchange), class, earlier_run);
+        if let Some(rejection) = self.rejection_of_all() {
+            let may_have_run = request.may_have_run();
+            exchange.complete(rejection_or_failure(
+                class.idempotency,
+                may_have_run,
+                rejection,
+            ));
             return Ok(());
         }
         let mut open = self.open.borrow_mut();
@@ -26,14 +60,20 @@
         if open.contains_key(&id) || self.recent_ids.borrow().contains(id) {
             return Err(RequestIdInUse);
         }
-        let query = exchange.request.query.clone();
-        let class = self.classes.get(query.class as usize).copied();
-        let request = OpenRequest::new(Rc::clone(exchange), class.unwrap_or_default());
+        let key = request.dedup_key();
+        let opened = key.map_or(Ok(()), |key| self.sent_keys.borrow_mut().open(key, id));
+        if opened == Err(TooManyKeys) {
+            exchange.complete(Answer::Rejected {
+                retry_after: TOO_MANY_KEYS_RETRY_AFTER_US,
+            });
+            return Ok(());
+        }
         open.insert(id, request);
         drop(open);
         let client_timeout = exchange.request.deadline().saturating_sub(self.clock.now());
         self.queue(Event::QueryArrived(NewQuery {
             client_timeout,
+            earlier_run,
             ..query
         }));
         self.process_events();
--- a/gateway/src/dispatch/tests/mod.rs
+++ b/gateway/src/dispatch/tests/mod.rs
@@ -8,11 +8,13 @@
 mod attempts;
 mod clients;
 mod fence;
+mod keys;
 
 use std::net::SocketAddr;
 
 use violetgate_policy::interface::{
-    Class, Engine, EngineKind, EngineState, Idempotency, Micros, NewQuery, Outcome,
+    Class, Engine, EngineKind, EngineLocation, EngineState, Idempotency, Micros, NewQuery, Outcome,
+    PossibleRun,
 };
 
 use super::*;
--- a/gateway/src/fence.rs
+++ b/gateway/src/fence.rs
@@ -17,15 +17,19 @@
 }
 
 /// Returns the answer to a request that may not be sent any more, because the fence is closed or
-/// the process is ending, after `attempts` attempts: `rejection` if a retry does no harm, else
-/// [`Answer::Failed`].
+/// the process is ending: `rejection` if a retry does no harm, else [`Answer::Failed`].
 ///
-/// A retry does no harm if the class is idempotent or no attempt was made yet. A retry of a
-/// deduplicated request may have to go to the engine that got the first attempt, so after an
-/// attempt its client must not be told to send it to another instance.
+/// A retry does no harm if the class is idempotent, or if neither the request nor an earlier one
+/// with its idempotency key may have run. A retry of a deduplicated request may have to go to the
+/// engine that got the first attempt, so after an attempt its client must not be told to send it to
+/// another instance.
 #[must_use]
-pub fn rejection_or_failure(idempotency: Idempotency, attempts: u32, rejection: Answer) -> Answer {
-    if idempotency == Idempotency::Idempotent || attempts == 0 {
+pub fn rejection_or_failure(
+    idempotency: Idempotency,
+    may_have_run: bool,
+    rejection: Answer,
+) -> Answer {
+    if idempotency == Idempotency::Idempotent || !may_have_run {
         rejection
     } else {
         Answer::Failed
--- a/gateway/src/fence/tests.rs
+++ b/gateway/src/fence/tests.rs
@@ -5,17 +5,17 @@
 
 #[test]
 fn only_requests_that_did_no_harm_are_rejected_and_others_fail() {
-    for (idempotency, attempts, harmless) in [
-        (Idempotency::Idempotent, 0, true),
-        (Idempotency::Idempotent, 3, true),
-        (Idempotency::Deduplicated, 0, true),
-        (Idempotency::Deduplicated, 1, false),
+    for (idempotency, may_have_run, harmless) in [
+        (Idempotency::Idempotent, false, true),
+        (Idempotency::Idempotent, true, true),
+        (Idempotency::Deduplicated, false, true),
+        (Idempotency::Deduplicated, true, false),
     ] {
-        let answer = rejection_or_failure(idempotency, attempts, Answer::StateUnconfirmed);
+        let answer = rejection_or_failure(idempotency, may_have_run, Answer::StateUnconfirmed);
         assert_eq!(
             matches!(answer, Answer::StateUnconfirmed),
             harmless,
-            "{idempotency:?} {attempts}"
+            "{idempotency:?} {may_have_run}"
         );
     }
 }
--- a/gateway/src/idempotency.rs
+++ b/gateway/src/idempotency.rs
@@ -14,7 +14,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use sha2::{Digest, Sha256};
-use violetgate_policy::interface::{Class, Idempotency, Micros, QueryId};
+use violetgate_policy::interface::{Class, DedupGroup, Idempotency, Micros, QueryId};
 use violetgate_result_store::{
     ByteBudget, ByteReservation, ExecutionOutcome, IdempotencyKeys, KeyLookup, RequestFingerprint,
 };
@@ -67,14 +67,22 @@
     pub replayed: u64,
 }
 
+/// How engines discard repeats of the queries of a class.
+#[derive(Debug, Clone, Copy)]
+struct Deduplication {
+    /// For how long after the first attempt engines discard repeats, in microseconds.
+    window: Micros,
+    /// The engines that discard each other's repeats.
+    group: DedupGroup,
+}
+
 /// Runs one query for each idempotency key and gives its answer to all queries with that key.
 pub struct IdempotencyLayer {
     this: Weak<IdempotencyLayer>,
     inner: Rc<dyn RequestSink>,
     executor: Rc<LocalExecutor<'static>>,
-    /// For how long after the first attempt engines discard repeats, in microseconds, by class.
-    /// `None` if queries of the class take no keys.
-    dedup_windows: Vec<Option<Micros>>,
+    /// By class. `None` if queries of the class take no keys.
+    deduplication: Vec<Option<Deduplication>>,
     budget: ByteBudget,
     keys: RefCell<IdempotencyKeys<QueryId, RecordedResult>>,
     waiters: RefCell<HashMap<QueryId, Waiter>>,
@@ -100,7 +108,7 @@
             this: this.clone(),
             inner,
             executor,
-            dedup_windows: classes.iter().map(dedup_window).collect(),
+            deduplication: classes.iter().map(deduplication).collect(),
             budget,
             keys: RefCell::new(IdempotencyKeys::new(max_keys, MAX_WAITERS_PER_KEY, now)),
             waiters: RefCell::default(),
@@ -125,9 +133,23 @@
         }
     }
 
-    fn dedup_window(&self, request: &Request) -> Option<Micros> {
+    fn deduplication(&self, request: &Request) -> Option<Deduplication> {
         let class = request.query.class as usize;
-        self.dedup_windows.get(class).copied().flatten()
+        self.deduplication.get(class).copied().flatten()
+    }
+
+    /// Returns the answer to a query that can't be executed or wait for lack of capacity: a
+    /// rejection if a retry does no harm. If an earlier query with the key may have taken effect
+    /// and not all engines would discard a repeat, the query fails.
+    fn no_capacity(&self, key: &str, exchange: &Exchange, retry_after: Micros) -> Answer {
+        let class = self.deduplication(&exchange.request);
+        let is_harmless = class.is_none_or(|class| class.group == DedupGroup::All);
+        let keys = self.keys.borrow();
+        if is_harmless || !keys.may_have_taken_effect(key, &exchange.id()) {
+            Answer::Rejected { retry_after }
+        } else {
+            Answer::Failed
+        }
     }
 
     fn add_waiter(&self, key: &str, exchange: &Rc<Exchange>, timeout: Option<Task<()>>) {
@@ -144,8 +166,8 @@
         // The bytes are reserved before the query is submitted. Otherwise its result might not be
         // recorded, and retries would have nothing to replay.
         let Some(reservation) = self.budget.reserve(MAX_RESULT_BYTES) else {
-            let retry_after = CAPACITY_RETRY_AFTER_US;
-            self.finish_unsent(key, exchange, Answer::Rejected { retry_after });
+            let answer = self.no_capacity(key, exchange, CAPACITY_RETRY_AFTER_US);
+            self.finish_unsent(key, exchange, answer);
             return Ok(());
         };
         let running = Exchange::new(exchange.request.clone());
@@ -249,11 +271,13 @@
     }
 }
 
-/// Returns for how long after the first attempt engines discard repeats of a query of this class,
-/// in microseconds, or `None` if they never do.
-fn dedup_window(class: &Class) -> Option<Micros> {
-    let window = class.dedup_window.unwrap_or(DEFAULT_DEDUP_WINDOW_US);
-    (class.idempotency == Idempotency::Deduplicated).then_some(window)
+/// Returns how engines discard repeats of a query of this class, or `None` if they never do.
+fn deduplication(class: &Class) -> Option<Deduplication> {
+    let deduplication = Deduplication {
+        window: class.dedup_window.unwrap_or(DEFAULT_DEDUP_WINDOW_US),
+        group: class.dedup_group,
+    };
+    (class.idempotency == Idempotency::Deduplicated).then_some(deduplication)
 }
 
 /// Hashes the parts of a request that must be equal in all queries of one key.
@@ -284,10 +308,11 @@
 impl RequestSink for IdempotencyLayer {
     fn submit(&self, exchange: &Rc<Exchange>) -> Result<(), RequestIdInUse> {
         let request = &exchange.request;
-        let window = self.dedup_window(request);
-        let (Some(key), Some(window)) = (&request.idempotency_key, window) else {
+        let deduplication = self.deduplication(request);
+        let (Some(key), Some(deduplication)) = (&request.idempotency_key, deduplication) else {
             return self.inner.submit(exchange);
         };
+        let window = deduplication.window;
         let id = exchange.id();
         if self.waiters.borrow().contains_key(&id) {
             return Err(RequestIdInUse);
@@ -310,10 +335,12 @@
             KeyLookup::KeyConflict => exchange.complete(Answer::KeyConflict),
             KeyLookup::OutcomeUnknown => exchange.complete(Answer::OutcomeUnknown),
             // 0 means that the store does not know when it will accept another query.
-            KeyLookup::Full { retry_after: 0 } => exchange.complete(Answer::Rejected {
-                retry_after: CAPACITY_RETRY_AFTER_US,
-            }),
-            KeyLookup::Full { retry_after } => exchange.complete(Answer::Rejected { retry_after }),
+            KeyLookup::Full { retry_after: 0 } => {
+                exchange.complete(self.no_capacity(key, exchange, CAPACITY_RETRY_AFTER_US));
+            }
+            KeyLookup::Full { retry_after } => {
+                exchange.complete(self.no_capacity(key, exchange, retry_after));
+            }
         }
         Ok(())
     }
--- a/gateway/src/request_validation.rs
+++ b/gateway/src/request_validation.rs
@@ -158,6 +158,7 @@
             table_group: table_group::table_group(self.statement),
             ordering_key,
             is_client_retry: self.retry_mark.is_some(),
+            earlier_run: None,
         };
         Ok(Request {
             query,
--- a/gateway/tests/rest/idempotency.rs
+++ b/gateway/tests/rest/idempotency.rs
@@ -135,3 +135,48 @@
         first.body
     );
 }
+
+/// Guards against a repeat that waits, here behind another query of its ordering key, and is sent
+/// after engines have forgotten the first attempt, so that it takes effect twice. The client of each
+/// first attempt has gone while it ran.
+#[test]
+fn a_repeat_that_waits_past_the_window_is_not_sent_over_either_front_end() {
+    const SHORT_WINDOW: f64 = 4.0;
+    /// How long the query in between runs, in milliseconds: past the window.
+    const BLOCKING_MS: u64 = 6_000;
+    let gateway = GatewayProcess::start(2, "", SHORT_WINDOW);
+    let rest_load = load(1, "ms=2000");
+    let pg_load = |rid: u32| {
+        format!(
+            "/* method=load,rid={rid:016x},budget=15000,token=pg,obj={:016x} */ SELECT 2 /* ms=2000 */",
+            2
+        )
+    };
+    let (mut rest, mut pg) = (gateway.http(), gateway.pg());
+    rest.post_query(&rest_load, Some("rest"));
+    pg.send(&pg_load(1));
+    assert!(gateway.upstreams.wait_for(|c| c.running == 2));
+    drop((rest, pg));
+    let mut blocking = [gateway.http(), gateway.http()];
+    for (http, order) in blocking.iter_mut().zip([1, 2]) {
+        let key = format!("blocking-{order}");
+        http.post_query(&load(order, &format!("ms={BLOCKING_MS}")), Some(&key));
+    }
+    assert!(gateway
+        .upstreams
+        .wait_for(|c| c.by_key.len() == 4 && c.running == 2));
+    let (mut rest, mut pg) = (gateway.http(), gateway.pg());
+    rest.post_query(&rest_load, Some("rest"));
+    pg.send(&pg_load(2));
+    let refused = rest.read();
+    assert_eq!(
+        (refused.status, refused.problem_type().as_str()),
+        (409, "outcome-unknown")
+    );
+    assert_eq!(pg.read(), Err("58000".to_owned()));
+    blocking
+        .iter_mut()
+        .for_each(|http| assert_complete(&http.read().rows(), 3));
+    let counts = gateway.upstreams.counts();
+    assert_eq!((counts.by_key["rest"], counts.by_key["pg"]), (1, 1));
+}
--- a/policy/src/admission.rs
+++ b/policy/src/admission.rs
@@ -47,6 +47,9 @@
     ObjectiveUnachievable,
     /// The predicted wait is too long.
     PredictedWaitTooLong,
+    /// An earlier request with the same idempotency key may have run, and no engine discards a
+    /// duplicate of it now.
+    OutsideDedupGroup,
 }
 
 /// The inputs of the admission threshold. Times are in seconds.
@@ -88,6 +91,9 @@
         if age > 0 && self.is_unachievable(id) {
             return AdmissionDecision::Reject(RejectReason::ObjectiveUnachievable);
         }
+        if self.is_outside_dedup_group(id) {
+            return AdmissionDecision::Reject(RejectReason::OutsideDedupGroup);
+        }
         let engine = is_first_in_queue.then(|| self.choose_engine(id)).flatten();
         if let Some(engine) = engine {
             AdmissionDecision::Send(engine)
@@ -103,6 +109,12 @@
         query.is_some_and(|query| self.objective_is_unachievable(query))
     }
 
+    fn is_outside_dedup_group(&self, id: QueryId) -> bool {
+        let query = self.queries.get(id);
+        let duplicate = query.filter(|query| query.first_run.is_some());
+        duplicate.is_some_and(|query| !self.any_engine_discards_duplicates_of(query))
+    }
+
     /// Returns the index of a query's class. Unknown classes share the last one.
     fn class_index(&self, request: &NewQuery) -> usize {
         (request.class as usize).min(self.settings.classes.len() - 1)
@@ -114,7 +126,7 @@
         let sequence = self.queries.next_sequence(self.now);
         let age = self.age_of_request(class_index, request);
         let class = &self.settings.classes[class_index];
-        let query = Query {
+        let mut query = Query {
             sequence,
             first_requested_at: self.now.saturating_sub(age),
             deadline: self.now + request.client_timeout,
@@ -128,6 +140,9 @@
             request: request.clone(),
             ..Query::default()
         };
+        if let Some(run) = request.earlier_run {
+            query.record_possible_run(run);
+        }
         let weight = class.priority_weight.unwrap_or(1.0);
         self.overall.priority_weight.record(weight, ARRIVAL_GAIN);
         self.overall.work.record(query.work, ARRIVAL_GAIN);
--- a/policy/src/attempt/ending.rs
+++ b/policy/src/attempt/ending.rs
@@ -1,10 +1,10 @@
 //! Handles the end of an attempt: releases its capacity, records its outcome, and retries or
 //! answers the query.
 
-use crate::interface::{Action, AttemptEnded, EngineId, Outcome, QueryId};
+use crate::interface::{Action, AttemptEnded, EngineId, Outcome, PossibleRun, QueryId};
 use crate::outlier_detection::FailureReason;
 use crate::retry::{RetryDecision, StopReason};
-use crate::state::{Attempt, FirstRun};
+use crate::state::Attempt;
 use crate::Gateway;
 
 /// How long nothing is sent to an engine that rejected an attempt because it was full, in control
@@ -60,9 +60,9 @@
         let (class, threads) = (query.class, query.threads);
         if let Some(engine) = self.engines.get_mut(&attempt.engine) {
             engine.release_attempt(id, attempt.priority, threads, attempt.granted_mb);
-            if outcome.may_have_run() && query.first_run.is_none() {
-                query.first_run = Some(FirstRun {
-                    engine: engine.listed,
+            if outcome.may_have_run() {
+                query.record_possible_run(PossibleRun {
+                    location: engine.listed.location(),
                     sent_at: attempt.sent_at,
                 });
             }
--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -7,7 +7,9 @@
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::interface::{Action, Class, EngineId, EngineState, Event, Micros, Settings};
+use crate::interface::{
+    Action, Class, EngineId, EngineLocation, EngineState, Event, Micros, Settings,
+};
 use crate::state::{ClassStats, EngineRecord, EngineSampler, OverallStats, Query, QueryTable};
 
 /// The state and the decisions of one gateway.
@@ -83,6 +85,7 @@
             Event::EngineList { scope, engines } => self.on_engine_list(*scope, engines, actions),
             Event::Cordon { engine, cordoned } => self.on_cordon(*engine, *cordoned),
             Event::QueryArrived(request) => self.on_query_arrived(request, actions),
+            Event::DuplicateSent { query, run } => self.on_duplicate_sent(*query, *run),
             Event::Progress {
                 query,
                 attempt,
@@ -125,6 +128,13 @@
         }
     }
 
+    /// Returns the place of an engine, or `None` if it was never listed.
+    #[must_use]
+    pub fn engine_location(&self, engine: EngineId) -> Option<EngineLocation> {
+        let record = self.engines.get(&engine)?;
+        Some(record.listed.location())
+    }
+
     /// Returns the settings of a query's class.
     pub(crate) fn class_of(&self, query: &Query) -> &Class {
         &self.settings.classes[query.class]
--- a/policy/src/interface.rs
+++ b/policy/src/interface.rs
@@ -35,9 +35,9 @@
 mod settings;
 
 pub use action::Action;
-pub use engine::{Engine, EngineId, EngineState, ListScope, LoadReport};
+pub use engine::{Engine, EngineId, EngineLocation, EngineState, ListScope, LoadReport};
 pub use event::{AttemptEnded, Event};
-pub use query::{Cost, NewQuery, Outcome, Progress, QueryId};
+pub use query::{Cost, NewQuery, Outcome, PossibleRun, Progress, QueryId};
 pub use settings::{Class, DedupGroup, EngineKind, Idempotency, RetryBudget, Settings};
 
 /// A point in time, or a span of time, in microseconds.
--- a/policy/src/interface/engine.rs
+++ b/policy/src/interface/engine.rs
@@ -16,6 +16,16 @@
     Removed,
 }
 
+/// The place of an engine. It decides which engines discard each other's duplicates, see
+/// [`DedupGroup`](super::DedupGroup).
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineLocation {
+    /// The engine's availability zone.
+    pub zone: u32,
+    /// The engine's cell, a part of its zone.
+    pub cell: u32,
+}
+
 /// One entry of the engine list.
 #[derive(Debug, Clone, Copy)]
 pub struct Engine {
@@ -33,6 +43,17 @@
     pub started: Option<Micros>,
 }
 
+impl Engine {
+    /// Returns the place of the engine.
+    #[must_use]
+    pub fn location(&self) -> EngineLocation {
+        EngineLocation {
+            zone: self.zone,
+            cell: self.cell,
+        }
+    }
+}
+
 /// How much of the engine list an event carries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ListScope {
--- a/policy/src/interface/event.rs
+++ b/policy/src/interface/event.rs
@@ -1,7 +1,8 @@
 //! The events that the embedding reports to a gateway.
 
 use super::{
-    Cost, Engine, EngineId, ListScope, LoadReport, Micros, NewQuery, Outcome, Progress, QueryId,
+    Cost, Engine, EngineId, ListScope, LoadReport, Micros, NewQuery, Outcome, PossibleRun,
+    Progress, QueryId,
 };
 
 /// Reports the end of an attempt.
@@ -46,6 +47,14 @@
     },
     /// A client sent a query. The query gets exactly one final answer.
     QueryArrived(NewQuery),
+    /// An attempt of another request with the same idempotency key was sent while the query is
+    /// open. Earlier such attempts are in [`NewQuery::earlier_run`].
+    DuplicateSent {
+        /// The query that is now a duplicate.
+        query: QueryId,
+        /// The attempt that was sent.
+        run: PossibleRun,
+    },
     /// A running attempt reported its progress.
     Progress {
         /// The query that the attempt belongs to.
--- a/policy/src/interface/query.rs
+++ b/policy/src/interface/query.rs
@@ -1,10 +1,32 @@
 //! Queries, the progress of their attempts, and how attempts end.
 
-use super::Micros;
+use super::{EngineLocation, Micros};
 
 /// The number of a query, assigned by the embedding. A number is never used twice.
 pub type QueryId = u64;
 
+/// An attempt that may have run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PossibleRun {
+    /// The place of the engine that the attempt was sent to.
+    pub location: EngineLocation,
+    /// When the attempt was sent.
+    pub sent_at: Micros,
+}
+
+impl PossibleRun {
+    /// Combines two attempts for the same idempotency key, of which `later` was reported later:
+    /// the time of the first one, from which engines remember the key, and the place of the later
+    /// one. If both have run, they went to the same group of engines.
+    #[must_use]
+    pub fn merged(self, later: PossibleRun) -> PossibleRun {
+        PossibleRun {
+            location: later.location,
+            sent_at: self.sent_at.min(later.sent_at),
+        }
+    }
+}
+
 /// A query that a client has just sent.
 #[derive(Debug, Clone, Default)]
 pub struct NewQuery {
@@ -27,6 +49,10 @@
     pub ordering_key: Option<u64>,
     /// Whether the client marked the request as a retry of an earlier request.
     pub is_client_retry: bool,
+    /// The attempts that may have run of earlier requests with the same idempotency key, see
+    /// [`PossibleRun::merged`]. If the class is deduplicated, this query goes only where and while
+    /// engines discard a duplicate of them. `None` if there are none.
+    pub earlier_run: Option<PossibleRun>,
 }
 
 /// The progress of a running attempt.
--- a/policy/src/retry.rs
+++ b/policy/src/retry.rs
@@ -8,7 +8,9 @@
 //! - Reason: retries hide failures of single engines but add load. A query that may have run must
 //!   not run again if that would have an effect.
 
-use crate::interface::{DedupGroup, Engine, Idempotency, Micros, RetryBudget};
+use crate::interface::{
+    DedupGroup, Engine, Idempotency, Micros, PossibleRun, QueryId, RetryBudget,
+};
 use crate::state::Query;
 use crate::units::micros;
 use crate::Gateway;
@@ -52,8 +54,7 @@
         if self.now + run >= query.deadline {
             return RetryDecision::Stop(StopReason::DeadlineTooClose);
         }
-        let mut engines = self.engines.values();
-        if !engines.any(|engine| self.discards_duplicates_of(query, &engine.listed)) {
+        if !self.any_engine_discards_duplicates_of(query) {
             return RetryDecision::Stop(StopReason::OutsideDedupGroup);
         }
         if failed_twice {
@@ -91,15 +92,34 @@
         let Some(first) = query.first_run.filter(|_| is_deduplicated) else {
             return true;
         };
-        let same_zone = first.engine.zone == engine.zone;
+        let same_zone = first.location.zone == engine.zone;
         let in_group = match class.dedup_group {
             DedupGroup::All => true,
             DedupGroup::Zone => same_zone,
-            DedupGroup::Cell => same_zone && first.engine.cell == engine.cell,
+            DedupGroup::Cell => first.location == engine.location(),
         };
         in_group && self.now < first.sent_at + class.dedup_window.unwrap_or(0)
     }
 
+    /// Returns whether deduplication allows an attempt of a query at any engine.
+    pub(crate) fn any_engine_discards_duplicates_of(&self, query: &Query) -> bool {
+        let mut engines = self.engines.values();
+        engines.any(|engine| self.discards_duplicates_of(query, &engine.listed))
+    }
+
+    /// Handles the event that an attempt of another request with the same idempotency key was sent:
+    /// that attempt may run, and the query is then a duplicate of it.
+    pub(crate) fn on_duplicate_sent(&mut self, id: QueryId, run: PossibleRun) {
+        let Some(query) = self.queries.get_mut(id) else {
+            return;
+        };
+        query.record_possible_run(run);
+        if query.is_queued {
+            // The query may have to be given up sooner.
+            self.enqueue(id);
+        }
+    }
+
     /// Returns whether a duplicate of a query would have no effect at any engine, now and for more
     /// than a control period.
     pub(crate) fn is_safe_to_duplicate(&self, query: &Query) -> bool {
--- a/policy/src/state.rs
+++ b/policy/src/state.rs
@@ -16,7 +16,7 @@
 pub(crate) use health_counts::HealthCounts;
 pub(crate) use key_order::{KeyHold, KeyOrder};
 pub(crate) use overall_stats::OverallStats;
-pub(crate) use query::{Attempt, FirstRun, Query};
+pub(crate) use query::{Attempt, Query};
 pub(crate) use query_table::QueryTable;
 pub(crate) use retry_history::RetryHistory;
 
--- a/policy/src/state/query.rs
+++ b/policy/src/state/query.rs
@@ -1,6 +1,6 @@
 //! The state that a gateway keeps for a query and its attempt.
 
-use crate::interface::{Engine, EngineId, Micros, NewQuery};
+use crate::interface::{EngineId, Micros, NewQuery, PossibleRun};
 
 /// An attempt that was sent and has not ended.
 #[derive(Debug, Default)]
@@ -21,13 +21,6 @@
     pub cancelled: bool,
 }
 
-/// The first attempt of a query that may have run.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct FirstRun {
-    pub engine: Engine,
-    pub sent_at: Micros,
-}
-
 /// A query that has no final answer yet, or still has an attempt out.
 #[derive(Debug, Default)]
 pub(crate) struct Query {
@@ -49,7 +42,9 @@
     /// The attempt that has not ended, if any.
     pub attempt: Option<Attempt>,
     pub may_have_run: bool,
-    pub first_run: Option<FirstRun>,
+    /// The attempts that may have run, of this query and of duplicates of it, as one: see
+    /// [`PossibleRun::merged`].
+    pub first_run: Option<PossibleRun>,
     /// The engine of the latest attempt that ended. Placement prefers all other engines.
     pub last_engine: Option<EngineId>,
     /// The engine that most recently answered the query with an error.
@@ -63,3 +58,11 @@
     /// The time of the next check.
     pub check_at: Micros,
 }
+
+impl Query {
+    /// Records an attempt that may have run, of this query or of a duplicate of it.
+    pub fn record_possible_run(&mut self, run: PossibleRun) {
+        self.may_have_run = true;
+        self.first_run = Some(self.first_run.map_or(run, |first| first.merged(run)));
+    }
+}
--- a/policy/src/wire/event.rs
+++ b/policy/src/wire/event.rs
@@ -211,6 +211,8 @@
             table_group: self.table_group.map(|group| group.max(0.0) as u64),
             ordering_key,
             is_client_retry: bits & IS_CLIENT_RETRY != 0,
+            // The wire names no idempotency keys.
+            earlier_run: None,
         })
     }
 
--- a/policy/tests/trace/load.rs
+++ b/policy/tests/trace/load.rs
@@ -73,6 +73,7 @@
             table_group: (!self.one_in(3)).then(|| self.draw(6)),
             ordering_key: (!self.one_in(3)).then(|| self.draw(12)),
             is_client_retry: client_retry,
+            earlier_run: None,
         };
         if self.one_in(25) {
             let wait = self.draw(2 * S);
--- a/result-store/src/idempotency.rs
+++ b/result-store/src/idempotency.rs
@@ -121,6 +121,19 @@
         self.entries.is_empty()
     }
 
+    /// Returns whether an execution of a request with `key` may have taken effect, or may still do
+    /// so. The execution that [`KeyLookup::Execute`] has just begun does not count.
+    #[must_use]
+    pub fn may_have_taken_effect(&self, key: &str, waiter: &W) -> bool {
+        self.entries.get(key).is_some_and(|entry| {
+            let has_just_begun = match &entry.state {
+                KeyState::InFlight { waiters } => waiters.first() == Some(waiter),
+                KeyState::Completed(_) | KeyState::OutcomeUnknown => false,
+            };
+            !(has_just_begun && entry.is_first_execution())
+        })
+    }
+
     /// Decides how to answer a request with `key`, and records `waiter` if it executes or joins
     /// another request.
     ///
--- a/result-store/src/idempotency/tests.rs
+++ b/result-store/src/idempotency/tests.rs
@@ -111,3 +111,20 @@
         KeyLookup::JoinInFlight
     );
 }
+
+/// Guards against a request that is told to try elsewhere although an earlier one with its key may
+/// have taken effect.
+#[test]
+fn only_a_first_execution_that_has_just_begun_surely_had_no_effect() {
+    let mut keys = small_table();
+    assert!(!keys.may_have_taken_effect("a", &1), "an unknown key");
+    begin(&mut keys, 0, "a", 1);
+    assert!(!keys.may_have_taken_effect("a", &1));
+    assert!(keys.may_have_taken_effect("a", &2), "request 1 runs");
+    keys.finish(1, "a", ExecutionOutcome::Unknown);
+    assert!(keys.may_have_taken_effect("a", &3));
+    assert_eq!(begin(&mut keys, 2, "a", 3), KeyLookup::Execute);
+    assert!(keys.may_have_taken_effect("a", &3), "the second execution");
+    keys.finish(3, "a", ExecutionOutcome::Completed("rows"));
+    assert!(keys.may_have_taken_effect("a", &4));
+}
