Compare engine lists by when they were confirmed, never by offsets of another start

Cause: events are counted from 1 at each start of each instance. The leader stored its list only under a higher offset than the stored one, an instance took the stored list for newer by its offset, and went on from that offset in its own bus.

Evidence: the log says "the stored engine list is in use, from=1 to=5" where the own list was at 2. The new process test fails on: the drain is never stored, and without that step 39 of 40 queries went to the draining engine.

Change: the leader stores the list of a bus that confirms it, compared by content, and with it when it was confirmed, once more 7.5 s after a change. An instance whose bus is silent since its start uses the stored list only if that was confirmed 7.5 s or more after the start, or if it has none. Its own list and offset stay, and take effect again in one step with the events received when the bus answers. The fake bus can count anew and be unreachable. One assertion of the old store test (a lower offset changes nothing) said what was wrong; its place is taken by tests that a lower offset is stored, and that a bus has to confirm the list.

Why it works: each bus has reported an event after 7 s at the latest, so a list that a bus confirms later than that after a start holds all that the configuration of the start held. Offsets of different starts don't meet any more.

State that the version before has stored is read, without a confirmation; versions before find the same keys as ever. All tests of the workspace pass.

--- a/fake-upstreams/src/event_bus.rs
+++ b/fake-upstreams/src/event_bus.rs
@@ -1,6 +1,7 @@
 //! The fake event bus. It sends the events of the engine list with their offsets, and the last
 //! offset once a second.
 
+use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -41,6 +42,8 @@
 #[derive(Default)]
 struct State {
     events: Vec<Value>,
+    /// Whether new connections are closed at once.
+    is_down: bool,
     /// Number of calls to `silence_connections`. A connection is silenced if the number has grown
     /// since it was accepted.
     silence_count: u64,
@@ -68,6 +71,9 @@
         listener: Async<TcpListener>,
     ) {
         while let Ok((stream, _)) = listener.accept().await {
+            if lock(&self.state).is_down {
+                continue;
+            }
             let stream = Arc::new(stream);
             lock(&self.state).connections.push(Arc::clone(&stream));
             let bus = Arc::clone(&self);
@@ -87,15 +93,27 @@
     }
 
     pub fn publish(&self, update: ListUpdate, servers: &[Value]) {
-        let is_full = update == ListUpdate::Snapshot;
+        lock(&self.state).publish(update, servers);
+        self.changed.notify(usize::MAX);
+    }
+
+    /// Replaces all events by a single one, which holds the list as it is, as at a start of a
+    /// gateway: events are counted from 1 at each start.
+    pub fn restart_numbering(&self) {
         let mut state = lock(&self.state);
-        let offset = state.events.len() + 1;
-        let topology = json!({"version": offset, "full": is_full, "servers": servers});
-        state
-            .events
-            .push(json!({"offset": offset, "topology": topology}));
+        let servers = state.current_servers();
+        state.events.clear();
+        state.publish(ListUpdate::Snapshot, &servers);
         drop(state);
-        self.changed.notify(usize::MAX);
+        self.close_connections();
+    }
+
+    /// Closes all connections, and new ones as soon as they are made, or ends that.
+    pub fn set_down(&self, is_down: bool) {
+        lock(&self.state).is_down = is_down;
+        if is_down {
+            self.close_connections();
+        }
     }
 
     pub fn close_connections(&self) {
@@ -147,6 +165,32 @@
     }
 }
 
+impl State {
+    fn publish(&mut self, update: ListUpdate, servers: &[Value]) {
+        let is_full = update == ListUpdate::Snapshot;
+        let offset = self.events.len() + 1;
+        let topology = json!({"version": offset, "full": is_full, "servers": servers});
+        self.events
+            .push(json!({"offset": offset, "topology": topology}));
+    }
+
+    /// Returns the latest entry of each engine that has not been removed.
+    fn current_servers(&self) -> Vec<Value> {
+        let entries = self
+            .events
+            .iter()
+            .filter_map(|event| event["topology"]["servers"].as_array())
+            .flatten();
+        let by_id: BTreeMap<String, Value> = entries
+            .map(|entry| (entry["id"].to_string(), entry.clone()))
+            .collect();
+        let listed = by_id.into_values();
+        listed
+            .filter(|entry| entry["state"] != "terminated")
+            .collect()
+    }
+}
+
 /// Reads a client's first line, `from OFFSET`, and returns the offset. Returns `None` if the
 /// connection ends or the line is malformed.
 async fn read_first_line(stream: &Async<TcpStream>) -> std::io::Result<Option<usize>> {
--- a/fake-upstreams/src/fake_upstreams.rs
+++ b/fake-upstreams/src/fake_upstreams.rs
@@ -177,6 +177,19 @@
         self.0.bus.close_connections();
     }
 
+    /// Counts the events of the bus from 1 again, as the platform does at each start of a gateway.
+    /// The first one holds the list as it is. The next configuration has to be that of
+    /// [`FakeUpstreams::config`].
+    pub fn restart_numbering(&self) {
+        self.0.bus.restart_numbering();
+    }
+
+    /// Makes the event bus unreachable, or reachable again. Events that happen meanwhile are sent
+    /// afterwards.
+    pub fn set_bus_down(&self, is_down: bool) {
+        self.0.bus.set_down(is_down);
+    }
+
     /// Stops sending on the open connections of the event bus and leaves them open. New connections
     /// work as usual.
     pub fn silence_bus(&self) {
--- a/gateway/src/discovery/client.rs
+++ b/gateway/src/discovery/client.rs
@@ -11,12 +11,13 @@
 use serde::Deserialize;
 use serde_json::Value;
 use thiserror::Error;
-use violetgate_policy::interface::ListScope;
+use violetgate_policy::interface::{ListScope, Micros};
 
 use super::engine_ids::EngineIds;
-use super::events::{BusEvent, EventError, Topology};
-use super::source::{DiscoverySource, EngineListSnapshot};
-use crate::config::NameTable;
+use super::events::{BusEvent, EventError};
+use super::source::DiscoverySource;
+use super::substitution::Substitution;
+use crate::config::{InitialEvents, NameTable};
 use crate::exchange::ListedEngine;
 use crate::log;
 
@@ -107,11 +108,16 @@
 
 /// Follows the event bus, and reports each update of the engine list.
 pub struct DiscoveryClient {
-    names: NameTable,
-    /// The offset of the last event that was applied.
+    pub(super) names: NameTable,
+    /// The offset of the last event that was applied. Offsets count from 1 at each start of this
+    /// instance.
     pub(super) last_offset: u64,
-    ids: Rc<EngineIds>,
-    source: Rc<DiscoverySource>,
+    /// When the list of the configuration was current, in microseconds since the Unix epoch.
+    pub(super) known_at: Micros,
+    pub(super) ids: Rc<EngineIds>,
+    pub(super) source: Rc<DiscoverySource>,
+    /// The stored list that is in use, if the own one is not.
+    pub(super) substitution: Option<Substitution>,
 }
 
 impl DiscoveryClient {
@@ -121,14 +127,27 @@
         DiscoveryClient {
             names,
             last_offset: 0,
+            known_at: 0,
             ids,
             source,
+            substitution: None,
         }
     }
 
     /// Applies the events that the configuration contains, and continues from `last_offset`, the
-    /// offset of the last of them. Events that can't be used are logged and skipped.
-    pub fn load_initial(&mut self, last_offset: u64, events: Vec<Value>, on_update: OnUpdate<'_>) {
+    /// offset of the last of them. Events that can't be used are logged and skipped. `known_at` is
+    /// the time of the start, in microseconds since the Unix epoch.
+    pub fn load_initial(
+        &mut self,
+        known_at: Micros,
+        initial: InitialEvents,
+        on_update: OnUpdate<'_>,
+    ) {
+        let InitialEvents {
+            last_offset,
+            events,
+        } = initial;
+        self.known_at = known_at;
         for event in events {
             let taken = BusEvent::deserialize(&event)
                 .map_err(EventError::from)
@@ -143,48 +162,13 @@
         self.source.record_event(last_offset, None);
     }
 
-    /// Applies the list that was passed to [`DiscoverySource::offer_fallback`], if it is newer than
-    /// the known one and nothing has been received from the bus yet.
-    fn take_fallback(&mut self, on_update: OnUpdate<'_>) {
-        let Some(list) = self.source.take_fallback() else {
-            return;
-        };
-        if list.last_offset <= self.last_offset || self.source.has_received() {
-            return;
-        }
-        let EngineListSnapshot {
-            last_offset,
-            engines,
-        } = list;
-        let topology = Topology {
-            full: true,
-            servers: engines.into_values().collect(),
-        };
-        let event = BusEvent {
-            offset: last_offset,
-            topology: Some(topology),
-        };
-        match self.take_event(event, on_update) {
-            Ok(()) => {
-                log::write_line(format_args!(
-                    "bus is silent; the stored engine list is in use, from={} to={last_offset}",
-                    self.last_offset
-                ));
-                self.last_offset = last_offset;
-            }
-            Err(error) => log::write_line(format_args!(
-                "bus reason=malformed stored engine list skipped: {error}"
-            )),
-        }
-    }
-
     /// Follows the bus forever, also when its address changes.
     pub async fn follow(mut self, on_update: OnUpdate<'_>) {
         let source = Rc::clone(&self.source);
         let mut backoff = MIN_BACKOFF;
         let mut last_end = None;
         loop {
-            self.take_fallback(on_update);
+            self.take_stored_list(on_update);
             let from = self.last_offset;
             let addr = source.addr();
             let mut received = false;
@@ -272,8 +256,24 @@
         Ok(stream)
     }
 
-    /// Removes the complete lines from `buffer` and handles them.
-    fn take_lines(
+    /// Removes the complete lines from `buffer` and handles them. Once any line was handled, the own
+    /// list is in use.
+    pub(super) fn take_lines(
+        &mut self,
+        buffer: &mut Vec<u8>,
+        silent_at: &mut Instant,
+        on_update: OnUpdate<'_>,
+        received: &mut bool,
+    ) -> Result<(), SessionEnd> {
+        let taken = self.take_complete_lines(buffer, silent_at, on_update, received);
+        if *received {
+            self.use_own_list(on_update);
+            self.source.set_received();
+        }
+        taken
+    }
+
+    fn take_complete_lines(
         &mut self,
         buffer: &mut Vec<u8>,
         silent_at: &mut Instant,
@@ -285,9 +285,9 @@
             let line = buffer.get(used..used + end).unwrap_or_default();
             if self.take_line(line, on_update)? == BusPosition::Current {
                 *silent_at = Instant::now() + SILENCE_TIMEOUT;
+                self.source.set_confirmed();
             }
             *received = true;
-            self.source.set_received();
             used += end + 1;
         }
         buffer.drain(..used);
@@ -336,7 +336,9 @@
         };
         let engines = topology.engines(&self.names, &self.ids)?;
         self.source.record_event(event.offset, Some(&topology));
-        on_update(topology.scope(), &engines);
+        if !self.only_records_events() {
+            on_update(topology.scope(), &engines);
+        }
         Ok(())
     }
 }
--- a/gateway/src/discovery/mod.rs
+++ b/gateway/src/discovery/mod.rs
@@ -9,10 +9,15 @@
 mod engine_ids;
 mod events;
 mod source;
+mod stored_list;
+mod substitution;
 
 pub use client::DiscoveryClient;
 pub use engine_ids::EngineIds;
 pub use source::{DiscoverySource, DiscoveryTraffic, EngineListSnapshot, ListRetention};
+pub use stored_list::{StoredEngineList, LIST_SETTLES_AFTER_US};
 
+#[cfg(test)]
+mod substitution_tests;
 #[cfg(test)]
 mod tests;
--- a/gateway/src/replication/member.rs
+++ b/gateway/src/replication/member.rs
@@ -14,7 +14,7 @@
 use violetgate_replicated_state::{Operation, Outcome, Revision, Store, Txn};
 
 use super::error::{ClusterStartError, CommitError};
-use super::member_upkeep::{update_records, watch_fence};
+use super::member_upkeep::{update_records, watch_fence, StoredListVersion};
 use super::metrics::MemberMetrics;
 use super::reconcile::{ControlTargets, MembersChange, Reconciler};
 use super::shared_config::{self, SharedConfig};
@@ -43,6 +43,8 @@
     observer: Option<Rc<ObserverService>>,
     /// Whether the fence was closed when it was last checked.
     was_fenced: Cell<bool>,
+    /// The engine list that this member has stored since it became leader, if any.
+    pub(super) stored_list: Cell<Option<StoredListVersion>>,
 }
 
 impl Fence for ClusterMember {
@@ -127,6 +129,7 @@
             settings_at_start: settings.clone(),
             observer,
             was_fenced: Cell::new(true),
+            stored_list: Cell::new(None),
         }))
     }
 
--- a/gateway/src/replication/member_upkeep.rs
+++ b/gateway/src/replication/member_upkeep.rs
@@ -5,17 +5,23 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use violetgate_policy::interface::Micros;
 use violetgate_raft::Role;
+use violetgate_replicated_state::Revision;
 
 use super::member::ClusterMember;
 use super::shared_config::{self, engine_list, MemberAddress};
 use super::FENCE_CHECK_INTERVAL;
-use crate::discovery::EngineListSnapshot;
+use crate::clock::micros;
+use crate::discovery::DiscoverySource;
 use crate::fence::Fence as _;
 use crate::log;
 
 /// How often the records are compared with the store.
 const RECORD_INTERVAL: Duration = Duration::from_millis(200);
+/// The list is stored only if the event bus has confirmed it within this time. The bus sends a line
+/// every second.
+const LIST_CONFIRMED_WITHIN: Duration = Duration::from_millis(1_400);
 /// The time within which the commit of one record has to complete.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(5);
 /// The name in the change log's operator field for updates of a member's address record.
@@ -56,9 +62,7 @@
                 conflict_is_logged = true;
                 log::write_line("cluster reason=id another disk goes by this member's id");
             }
-            if let Some(list) = member.newer_engine_list() {
-                member.store_engine_list(&list).await;
-            }
+            member.update_engine_list().await;
         }
         drop(member);
         Timer::after(RECORD_INTERVAL).await;
@@ -94,34 +98,76 @@
         }
     }
 
-    /// Returns the engine list if this member is the leader and the stored list is older.
-    fn newer_engine_list(&self) -> Option<EngineListSnapshot> {
+    /// Stores the engine list if this member is the leader, its event bus confirms the list, and
+    /// the stored one differs or has to be confirmed again.
+    async fn update_engine_list(&self) {
         if self.status().role != Role::Leader {
-            return None;
+            self.stored_list.set(None);
+            return;
         }
-        let discovery = &self.reconciler.targets()?.discovery;
-        // The offsets are compared before the list is copied, because the list rarely changes.
-        let last_offset = discovery.last_offset()?;
-        let stored = self.runtime.store(engine_list::stored_offset);
-        if stored.is_some_and(|stored| stored >= last_offset) {
-            return None;
+        let Some(targets) = self.reconciler.targets() else {
+            return;
+        };
+        let discovery = &targets.discovery;
+        let age = discovery.confirmation_age();
+        let Some(age) = age.filter(|age| *age <= LIST_CONFIRMED_WITHIN) else {
+            return;
+        };
+        let confirmed_at = targets.clock.now().saturating_sub(micros(age));
+        if !self.has_stored_list(discovery, confirmed_at) {
+            self.store_engine_list(discovery, confirmed_at).await;
         }
-        discovery.retained_list()
     }
 
-    /// Stores an engine list, in several transactions if it is long. Stops at the first one that
-    /// fails; the next round continues.
-    async fn store_engine_list(&self, list: &EngineListSnapshot) {
+    /// Returns whether this member has stored the list as it is and need not confirm it again, and
+    /// nobody has changed it since. Only versions are compared here, as the list rarely changes and
+    /// may be long.
+    fn has_stored_list(&self, discovery: &DiscoverySource, confirmed_at: Micros) -> bool {
+        let confirmation = self.runtime.store(engine_list::ListConfirmation::read);
+        let Some(confirmation) =
+            confirmation.filter(|confirmation| !confirmation.is_due(confirmed_at))
+        else {
+            return false;
+        };
+        self.stored_list.get()
+            == Some(StoredListVersion {
+                own: discovery.list_version(),
+                revision: confirmation.revision,
+            })
+    }
+
+    /// Stores the list that the event bus confirmed at `confirmed_at`, in several transactions if it
+    /// is long. Stops at the first one that fails; the next round continues.
+    async fn store_engine_list(&self, discovery: &DiscoverySource, confirmed_at: Micros) {
+        let list = discovery.retained_list();
+        if !list.is_known() {
+            return;
+        }
         let next = || {
             self.runtime
-                .store(|store| engine_list::next_update(store, list))
+                .store(|store| engine_list::next_update(store, &list, confirmed_at))
         };
         while let Some(transaction) = next() {
             let commit = self.commit(None, ENGINE_LIST_OPERATOR, transaction, RECORD_TIMEOUT);
             let held = commit.await.is_ok_and(|commit| commit.conditions_held);
             if !held {
-                break;
+                return;
             }
         }
+        let confirmation = self.runtime.store(engine_list::ListConfirmation::read);
+        self.stored_list
+            .set(confirmation.map(|confirmation| StoredListVersion {
+                own: list.version,
+                revision: confirmation.revision,
+            }));
     }
 }
+
+/// The engine list that a leader has stored.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct StoredListVersion {
+    /// The version of the list in this process.
+    own: u64,
+    /// The revision of the replicated state that completed the update.
+    revision: Revision,
+}
--- a/gateway/src/replication/participant.rs
+++ b/gateway/src/replication/participant.rs
@@ -75,13 +75,13 @@
         }
     }
 
-    /// Returns whether this instance keeps a copy of the engine list. Members do, because the
-    /// leader stores the list for other instances.
+    /// Returns for how long this instance keeps a copy of the engine list. Members always do,
+    /// because the leader stores the list for other instances.
     #[must_use]
     pub fn list_retention(&self) -> ListRetention {
         match self {
             Participant::Member(_) => ListRetention::Retain,
-            Participant::Subscriber(_) => ListRetention::Discard,
+            Participant::Subscriber(_) => ListRetention::UntilBusAnswers,
         }
     }
 
--- a/gateway/src/replication/reconcile.rs
+++ b/gateway/src/replication/reconcile.rs
@@ -108,7 +108,7 @@
         }
         if !targets.discovery.has_received() {
             if let Some(list) = engine_list::stored(state) {
-                targets.discovery.offer_fallback(list);
+                targets.discovery.offer_stored_list(list);
             }
         }
         members
--- a/gateway/src/replication/shared_config/encoding.rs
+++ b/gateway/src/replication/shared_config/encoding.rs
@@ -24,8 +24,11 @@
 pub(super) const SETTINGS_VERSION_PREFIX: &str = "settings/versions/";
 /// The key that contains the number of the settings version in force.
 pub(super) const CURRENT_SETTINGS: &str = "settings/current";
-/// The key that contains the offset of the last event included in the stored engine list.
+/// The key that contains the offset of the last event included in the stored engine list, as the
+/// instance that stored it counts events. Versions before read it.
 pub(super) const ENGINE_LIST_OFFSET: &str = "list";
+/// The key that contains when the stored engine list was changed and confirmed.
+pub(super) const ENGINE_LIST_CONFIRMATION: &str = "list-confirmation";
 
 /// The addresses of a member and the id of the disk that contains its log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
--- a/gateway/src/replication/shared_config/mod.rs
+++ b/gateway/src/replication/shared_config/mod.rs
@@ -12,6 +12,7 @@
 //! | `settings/versions/N` | the text of version N |
 //! | `members/MEMBER` | a member's addresses and the id of its disk |
 //! | `engines/ENGINE`, `list` | the last known engine list, and the offset of its last event |
+//! | `list-confirmation` | when that list was changed, and when the event bus confirmed it |
 //!
 //! This module makes no decisions about requests. Of engines, it contains only the cordons that
 //! operators requested and the last known list.
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -78,7 +78,7 @@
         let discovery = Rc::new(DiscoverySource::new(config.bus, retention));
         let (names, ids) = (config.names.clone(), Rc::clone(&engine_ids));
         let client = DiscoveryClient::new(names, ids, Rc::clone(&discovery));
-        follow_engine_list(&executor, client, config.initial_events, &dispatch);
+        follow_engine_list(&executor, client, clock, config.initial_events, &dispatch);
         start_background_tasks(&executor, &dispatch, &pool);
         let drain = Rc::new(DrainState::default());
         let front_ends = FrontEnds {
@@ -209,6 +209,7 @@
 fn follow_engine_list(
     executor: &LocalExecutor<'static>,
     mut client: DiscoveryClient,
+    clock: Clock,
     initial: InitialEvents,
     dispatch: &Rc<Dispatch>,
 ) {
@@ -216,7 +217,7 @@
     let mut on_update = move |scope: ListScope, engines: &[ListedEngine]| {
         dispatch.update_engines(scope, engines);
     };
-    client.load_initial(initial.last_offset, initial.events, &mut on_update);
+    client.load_initial(clock.now(), initial, &mut on_update);
     executor
         .spawn(async move { client.follow(&mut on_update).await })
         .detach();
--- a/gateway/tests/cluster/main.rs
+++ b/gateway/tests/cluster/main.rs
@@ -9,6 +9,7 @@
     reason = "a failed step fails the test"
 )]
 
+mod engine_list;
 mod membership;
 mod operations;
 mod settings;
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -159,6 +159,24 @@
         connect(&self.rest);
     }
 
+    /// Kills the process and starts it again as the platform does: the events of the bus are counted
+    /// from 1, and the configuration holds them. `is_bus_down` is whether the bus is unreachable
+    /// from the start on.
+    pub fn restart_as_on_platform(&mut self, is_bus_down: bool) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.upstreams.set_bus_down(is_bus_down);
+        self.upstreams.restart_numbering();
+        let path = self.folder.join("config.json");
+        let before: Value = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
+        let config = self
+            .upstreams
+            .config("n0", &self.listen, &before["settings"]);
+        std::fs::write(path, config.to_string()).unwrap();
+        self.restart();
+        self.wait_until_healthy();
+    }
+
     /// Starts a process that should exit by itself. Returns its exit code and its log.
     pub fn run_until_exit(&mut self) -> (Option<i32>, String) {
         let child = Self::spawn(&self.folder, &self.listen, &self.management, Stdio::piped());
--- a/tools/scale/src/lightweight_gateway/gateway.rs
+++ b/tools/scale/src/lightweight_gateway/gateway.rs
@@ -313,8 +313,8 @@
             dispatch.update_engines(scope, engines);
         }
     };
-    let initial = config.initial_events;
-    client.load_initial(initial.last_offset, initial.events, &mut on_update);
+    let now = template.clock.now();
+    client.load_initial(now, config.initial_events, &mut on_update);
     if template.runs(Part::Bus) {
         executor
             .spawn(async move { client.follow(&mut on_update).await })
