Find joined members after a restart by the log that is not applied yet

Cause: membership takes effect from the log, addresses only once applied.

Change: until the recovered log is applied or replaced, addresses and disk ids are those at its end (store_at_log_end).

--- a/cluster/replica-runtime/src/runtime.rs
+++ b/cluster/replica-runtime/src/runtime.rs
@@ -126,6 +126,18 @@
         read(self.replica.borrow().store())
     }
 
+    /// Returns whether the log that this replica has recovered at its start is applied.
+    #[must_use]
+    pub fn has_applied_recovered_log(&self) -> bool {
+        self.replica.borrow().has_applied_recovered_log()
+    }
+
+    /// Reads the state that results if all entries of this replica's log are committed. It serves
+    /// to reach the other replicas after a restart, before a leader has confirmed the log.
+    pub fn store_at_log_end<T>(&self, read: impl FnOnce(&Store) -> T) -> T {
+        read(&self.replica.borrow().store_at_log_end())
+    }
+
     /// Checks whether the state applied here is fresh enough to route requests on it.
     ///
     /// # Errors
--- a/cluster/replica-runtime/src/transport.rs
+++ b/cluster/replica-runtime/src/transport.rs
@@ -9,7 +9,7 @@
 mod outgoing;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -55,6 +55,8 @@
     ended_incoming: Rc<RefCell<Vec<u64>>>,
     next_incoming: Cell<u64>,
     dropped_messages: Cell<u64>,
+    /// Replicas that messages were dropped for because their addresses are not known.
+    unaddressed: RefCell<BTreeSet<NodeId>>,
     counter: TrafficCounter,
     /// Replicas with which no messages are exchanged, set by tests of network partitions.
     blocked: RefCell<Vec<NodeId>>,
@@ -83,6 +85,7 @@
             ended_incoming: Rc::default(),
             next_incoming: Cell::new(0),
             dropped_messages: Cell::new(0),
+            unaddressed: RefCell::default(),
             counter: TrafficCounter::default(),
             blocked: RefCell::default(),
         })
@@ -91,6 +94,9 @@
     /// Sets the replicas that messages may be sent to, and their addresses. Connections to other
     /// replicas or other addresses are closed.
     pub fn set_peers(&self, addresses: &BTreeMap<NodeId, SocketAddr>) {
+        self.unaddressed
+            .borrow_mut()
+            .retain(|id| !addresses.contains_key(id));
         let mut peers = self.peers.borrow_mut();
         peers.retain(|id, peer| addresses.get(id) == Some(&peer.address));
         for (id, address) in addresses.iter().filter(|(id, _)| **id != self.id) {
@@ -127,8 +133,8 @@
         self.known_disk(id).is_some_and(|known| known != disk_id)
     }
 
-    /// Returns the number of messages dropped so far because they were too long or their queue was
-    /// full.
+    /// Returns the number of messages dropped so far because they were too long, their queue was
+    /// full, or the receiver's address is not known.
     #[must_use]
     pub fn dropped_messages(&self) -> u64 {
         self.dropped_messages.get()
@@ -150,20 +156,39 @@
         self.blocked.borrow().contains(&id)
     }
 
-    /// Queues a message. If it is too long or the queue is full, it is dropped and counted.
+    /// Queues a message. If it is too long, the queue is full or the receiver's address is not
+    /// known, it is dropped and counted.
     pub fn send(&self, to: NodeId, message: &PeerMessage) {
         if self.is_blocked(to) {
             return;
         }
         let peers = self.peers.borrow();
-        let Some(peer) = peers.get(&to) else { return };
+        let Some(peer) = peers.get(&to) else {
+            return self.drop_unaddressed(to);
+        };
         match wire::encode_frame(message) {
             Ok(frame) if peer.queue.has_room_for(&frame) => {
                 self.counter.count_sent(frame.len());
                 peer.queue.push(frame);
             }
             // The queue is full, or the message exceeds the maximum frame length.
-            _ => self.dropped_messages.set(self.dropped_messages.get() + 1),
+            _ => self.count_dropped(),
+        }
+    }
+
+    fn count_dropped(&self) {
+        self.dropped_messages.set(self.dropped_messages.get() + 1);
+    }
+
+    /// Drops a message to a replica without a known address. Only the first one is logged.
+    fn drop_unaddressed(&self, to: NodeId) {
+        self.count_dropped();
+        if self.unaddressed.borrow_mut().insert(to) {
+            tracing::info!(
+                "member {to} has no known address, so it gets no messages: \
+                 name it under `members` in the settings of member {}",
+                self.id
+            );
         }
     }
 
--- a/cluster/replica/src/lib.rs
+++ b/cluster/replica/src/lib.rs
@@ -54,6 +54,7 @@
 mod reads;
 mod replica;
 mod snapshots;
+mod unapplied_log;
 
 pub use config::{ReplicaConfig, ReplicaError};
 pub use effect::{CallId, Effect, Response};
--- a/cluster/replica/src/replica.rs
+++ b/cluster/replica/src/replica.rs
@@ -10,6 +10,7 @@
 use crate::proposals::PendingProposals;
 use crate::reads::PendingReads;
 use crate::snapshots::Snapshots;
+use crate::unapplied_log::RecoveredLog;
 use crate::{CallId, Effect, ReplicaError, Response};
 
 /// The contents of a replica's storage when the replica starts.
@@ -33,6 +34,7 @@
     pub(crate) guard: StalenessGuard,
     /// The position of the last entry that is applied to the store.
     pub(crate) applied: LogPosition,
+    pub(crate) recovered_log: RecoveredLog,
     pub(crate) pending_proposals: PendingProposals,
     pub(crate) reads: PendingReads,
     pub(crate) snapshots: Snapshots,
@@ -72,9 +74,11 @@
             snapshot: initial.snapshot,
             entries: initial.entries,
         };
+        let raft = RaftNode::new(id, config.raft, seed, restored, now);
         Ok(Replica {
             config,
-            raft: RaftNode::new(id, config.raft, seed, restored, now),
+            recovered_log: RecoveredLog::of(&raft),
+            raft,
             store,
             guard,
             applied,
--- a/gateway/src/replication/api/cluster.rs
+++ b/gateway/src/replication/api/cluster.rs
@@ -73,7 +73,7 @@
     }
 
     fn members_json(&self, status: &ReplicaStatus) -> Vec<Value> {
-        let config = self.member.reconciler.config();
+        let config = self.member.config_with_members();
         let own = self.member.settings_at_start.addresses();
         let member = |id: u64| {
             let recorded = config.members.get(&id);
--- a/gateway/src/replication/member.rs
+++ b/gateway/src/replication/member.rs
@@ -1,6 +1,6 @@
 //! The member role in a cluster: replicates the shared state and commits operators' changes.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -45,6 +45,10 @@
     was_fenced: Cell<bool>,
     /// The engine list that this member has stored since it became leader, if any.
     pub(super) stored_list: Cell<Option<StoredListVersion>>,
+    /// The shared configuration at the end of the log that was recovered at the start, until that
+    /// log is applied. Before a leader is elected, it has the addresses of members that joined or
+    /// moved after the latest snapshot.
+    recovered_config: RefCell<Option<SharedConfig>>,
 }
 
 impl Fence for ClusterMember {
@@ -106,6 +110,14 @@
     Ok(Some(ObserverService::start(runtime, listen, config)?))
 }
 
+/// Reads the shared configuration at the end of the recovered log, if that log is not applied.
+fn read_recovered_config(runtime: &ReplicaRuntime, instance: &str) -> Option<SharedConfig> {
+    if runtime.has_applied_recovered_log() {
+        return None;
+    }
+    Some(runtime.store_at_log_end(|store| SharedConfig::read(store, instance)))
+}
+
 impl ClusterMember {
     /// Opens the member's folder and starts its replica. The fence stays closed until the state is
     /// confirmed.
@@ -122,14 +134,17 @@
         let runtime = ReplicaRuntime::start(executor, &replica_options(settings, seed))
             .map_err(ClusterStartError::of_member)?;
         let observer = start_observer(&runtime, settings)?;
+        let instance = settings.id.to_string();
+        let recovered_config = read_recovered_config(&runtime, &instance);
         Ok(Rc::new(ClusterMember {
             runtime,
             id: settings.id,
-            reconciler: Reconciler::new(settings.id.to_string(), own_settings),
+            reconciler: Reconciler::new(instance, own_settings),
             settings_at_start: settings.clone(),
             observer,
             was_fenced: Cell::new(true),
             stored_list: Cell::new(None),
+            recovered_config: RefCell::new(recovered_config),
         }))
     }
 
@@ -137,6 +152,7 @@
     /// configuration to them, and keeps applying its changes.
     pub fn attach(self: &Rc<Self>, executor: &Rc<LocalExecutor<'static>>, targets: ControlTargets) {
         self.reconciler.attach(targets);
+        self.apply_members();
         let member = Rc::downgrade(self);
         // The configuration takes effect in the same step in which the replica applies an entry,
         // because the check for stale state, which controls the fence, treats the entry as in force
@@ -151,12 +167,26 @@
     }
 
     fn reconcile(&self, store: &Store) {
-        if self.reconciler.reconcile(store) == MembersChange::Changed {
-            self.apply_members(&self.reconciler.config());
+        let members = self.reconciler.reconcile(store);
+        if self.discard_recovered_config() || members == MembersChange::Changed {
+            self.apply_members();
         }
     }
 
-    fn apply_members(&self, config: &SharedConfig) {
+    /// Discards the configuration of the recovered log once that log is applied. Returns whether
+    /// it was discarded now.
+    fn discard_recovered_config(&self) -> bool {
+        self.runtime.has_applied_recovered_log() && self.recovered_config.take().is_some()
+    }
+
+    /// Returns the shared configuration with the latest known addresses of the members.
+    pub(super) fn config_with_members(&self) -> SharedConfig {
+        let recovered = self.recovered_config.borrow().clone();
+        recovered.unwrap_or_else(|| self.reconciler.config().clone())
+    }
+
+    fn apply_members(&self) {
+        let config = self.config_with_members();
         let own_settings = self.reconciler.own_settings();
         let own = own_settings.cluster.as_ref();
         let own = own.unwrap_or(&self.settings_at_start).addresses();
@@ -175,7 +205,7 @@
     pub fn set_own_settings(&self, own: &Settings) {
         self.reconciler.set_own_settings(own);
         if self.reconciler.targets().is_some() {
-            self.apply_members(&self.reconciler.config());
+            self.apply_members();
         }
     }
 
--- a/gateway/tests/cluster/main.rs
+++ b/gateway/tests/cluster/main.rs
@@ -12,6 +12,7 @@
 mod engine_list;
 mod membership;
 mod operations;
+mod restart;
 mod settings;
 mod state;
 #[path = "../support/mod.rs"]
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -80,13 +80,31 @@
         Self::start_with_blocks(engines, rest, window, |_| String::new())
     }
 
-    /// Starts a gateway with further blocks in its settings file. If they name a member's folder,
-    /// the folder is initialized.
+    /// Starts a gateway with further blocks in its settings file, and waits until it is healthy. If
+    /// they name a member's folder, the folder is initialized.
     pub fn start_with_blocks(
         engines: usize,
         rest: &str,
         window: f64,
         extra_blocks: impl Fn(&Path) -> String,
+    ) -> Self {
+        let gateway = Self::spawn_with_blocks(engines, rest, window, &[], extra_blocks);
+        gateway.wait_until_healthy();
+        gateway
+    }
+
+    /// Starts a member that joins a running cluster. It is healthy once it has been added.
+    pub fn start_joining(engines: usize, cluster_block: impl Fn(&Path) -> String) -> Self {
+        Self::spawn_with_blocks(engines, "", 12.0, &["--join"], cluster_block)
+    }
+
+    /// `init_arguments` are further arguments of the command that initializes a member's folder.
+    fn spawn_with_blocks(
+        engines: usize,
+        rest: &str,
+        window: f64,
+        init_arguments: &[&str],
+        extra_blocks: impl Fn(&Path) -> String,
     ) -> Self {
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let (listen, rest_address) = (reserve_address(), reserve_address());
@@ -109,27 +127,22 @@
         )
         .unwrap();
         if extra_blocks.contains("folder = ") {
-            let (succeeded, output) = run_violetgate(&[
-                "members",
-                "init",
-                "--settings",
-                folder.join("violetgate.hcl").to_str().unwrap(),
-            ]);
+            let settings = folder.join("violetgate.hcl");
+            let init = ["members", "init", "--settings", settings.to_str().unwrap()];
+            let (succeeded, output) = run_violetgate(&[&init[..], init_arguments].concat());
             assert!(succeeded, "{output}");
         }
         let management = reserve_address();
         let log = std::fs::File::create(folder.join("log")).unwrap();
         let child = Self::spawn(&folder, &listen, &management, log.into());
-        let gateway = GatewayProcess {
+        GatewayProcess {
             upstreams,
             child,
             listen,
             rest: rest_address,
             management,
             folder,
-        };
-        gateway.wait_until_healthy();
-        gateway
+        }
     }
 
     fn spawn(folder: &Path, listen: &str, management: &str, log: Stdio) -> Child {
