Let a member name its address when it connects, so that it can be answered

Callers saw: a member that joined with settings that don't name the leader never became current, and counted as a voter all the same; one that moved to another address was never reached there.

Change: a hello ends with the sender's address, used while that connection is open; it overrides recorded addresses and yields to the receiver's settings.

--- a/cluster/replica-runtime/src/runtime/startup.rs
+++ b/cluster/replica-runtime/src/runtime/startup.rs
@@ -187,7 +187,14 @@
         }
     });
     let executor = Rc::clone(executor);
-    Transport::new(executor, &options.cluster, options.id, disk_id, on_message)
+    Transport::new(
+        executor,
+        &options.cluster,
+        options.id,
+        disk_id,
+        options.listen,
+        on_message,
+    )
 }
 
 fn open_storage(options: &ReplicaOptions) -> Result<OpenedStorage, StartError> {
--- a/cluster/replica-runtime/src/transport.rs
+++ b/cluster/replica-runtime/src/transport.rs
@@ -5,6 +5,7 @@
 //! connection that fails is made again after a backoff. A message for a full queue is dropped,
 //! because Raft sends every required message again.
 
+mod addresses;
 mod incoming;
 mod outgoing;
 
@@ -21,6 +22,7 @@
 
 use crate::traffic_stats::{TrafficCounter, TrafficStats};
 use crate::wire::{self, Hello, PeerMessage};
+use addresses::PeerAddresses;
 use outgoing::PeerQueue;
 
 /// The maximum number of incoming connections.
@@ -46,6 +48,10 @@
     cluster: String,
     id: NodeId,
     disk_id: u64,
+    /// The address at which other replicas reach this one, for its hellos. `None` if it listens at
+    /// all addresses of the machine.
+    announced_address: Option<SocketAddr>,
+    addresses: RefCell<PeerAddresses>,
     /// The disk id of each replica for which one is committed.
     known_disks: RefCell<BTreeMap<NodeId, u64>>,
     peers: RefCell<BTreeMap<NodeId, Peer>>,
@@ -63,13 +69,14 @@
 }
 
 impl Transport {
-    /// Creates the transport of a replica, without any peers.
+    /// Creates the transport of a replica that listens at `listen`, without any peers.
     #[must_use]
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         cluster: &str,
         id: NodeId,
         disk_id: u64,
+        listen: SocketAddr,
         on_message: MessageHandler,
     ) -> Rc<Self> {
         Rc::new_cyclic(|weak_self| Transport {
@@ -78,6 +85,8 @@
             cluster: cluster.to_owned(),
             id,
             disk_id,
+            announced_address: Some(listen).filter(|address| !address.ip().is_unspecified()),
+            addresses: RefCell::default(),
             known_disks: RefCell::default(),
             peers: RefCell::default(),
             on_message,
@@ -91,9 +100,25 @@
         })
     }
 
-    /// Sets the replicas that messages may be sent to, and their addresses. Connections to other
-    /// replicas or other addresses are closed.
+    /// Sets the addresses of the replicas that this replica's own settings name.
     pub fn set_peers(&self, addresses: &BTreeMap<NodeId, SocketAddr>) {
+        self.addresses
+            .borrow_mut()
+            .set_configured(addresses.clone());
+        self.connect_peers();
+    }
+
+    /// Sets the addresses that replicas have recorded in the replicated state. Those of
+    /// [`Transport::set_peers`], and those that replicas name when they connect, override them.
+    pub fn set_recorded_addresses(&self, addresses: BTreeMap<NodeId, SocketAddr>) {
+        self.addresses.borrow_mut().set_recorded(addresses);
+        self.connect_peers();
+    }
+
+    /// Connects to all replicas whose addresses are known. Connections to other replicas or other
+    /// addresses are closed.
+    fn connect_peers(&self) {
+        let addresses = self.addresses.borrow().in_use();
         self.unaddressed
             .borrow_mut()
             .retain(|id| !addresses.contains_key(id));
@@ -106,6 +131,21 @@
         }
     }
 
+    /// Uses the address that a replica has named on an incoming connection, while that is open.
+    fn announce(&self, connection: u64, from: NodeId, address: SocketAddr) {
+        self.addresses
+            .borrow_mut()
+            .announce(connection, from, address);
+        self.connect_peers();
+    }
+
+    fn withdraw_announcement(&self, connection: u64) {
+        let withdrawn = self.addresses.borrow_mut().withdraw(connection);
+        if withdrawn {
+            self.connect_peers();
+        }
+    }
+
     fn connect_to(&self, id: NodeId, address: SocketAddr) -> Peer {
         let queue = Rc::new(PeerQueue::default());
         let transport = self.weak_self.clone();
@@ -193,7 +233,10 @@
     }
 
     fn hello(&self, to: NodeId) -> Hello {
-        Hello::new(&self.cluster, self.id, to, self.disk_id)
+        Hello {
+            listen: self.announced_address,
+            ..Hello::new(&self.cluster, self.id, to, self.disk_id)
+        }
     }
 
     /// Accepts connections until the task is dropped.
@@ -223,8 +266,11 @@
         let transport = self.weak_self.clone();
         let ended = Rc::clone(&self.ended_incoming);
         let task = self.executor.spawn(async move {
-            let end = incoming::serve(&transport, &stream).await;
+            let end = incoming::serve(&transport, &stream, number).await;
             ended.borrow_mut().push(number);
+            if let Some(transport) = transport.upgrade() {
+                transport.withdraw_announcement(number);
+            }
             tracing::info!("member {peer} ended reason={end}");
         });
         incoming.insert(number, task);
--- a/cluster/replica-runtime/src/transport/incoming.rs
+++ b/cluster/replica-runtime/src/transport/incoming.rs
@@ -10,12 +10,13 @@
 use crate::framing::{disable_nagle, write_all, FrameReader};
 use crate::wire::{self, Decoded, Hello, PeerMessage, Welcome};
 
-/// Handles a connection until it ends, and returns the reason.
+/// Handles the connection with this number until it ends, and returns the reason.
 pub(super) async fn serve(
     transport: &Weak<Transport>,
     stream: &Async<TcpStream>,
+    connection: u64,
 ) -> PeerConnectionEnd {
-    match receive_all(transport, stream).await {
+    match receive_all(transport, stream, connection).await {
         Ok(never) => match never {},
         Err(end) => end,
     }
@@ -24,11 +25,15 @@
 async fn receive_all(
     weak: &Weak<Transport>,
     stream: &Async<TcpStream>,
+    connection: u64,
 ) -> Result<std::convert::Infallible, PeerConnectionEnd> {
     disable_nagle(stream);
     let mut reader = FrameReader::default();
     let hello: Hello = reader.read_hello(stream).await?;
     answer_hello(weak, stream, &hello).await?;
+    if let Some(address) = hello.listen {
+        upgrade(weak)?.announce(connection, hello.from, address);
+    }
     loop {
         let received = reader.read_message(stream, wire::MAX_FRAME_BYTES).await?;
         upgrade(weak)?.receive(&hello, received)?;
--- a/cluster/replica-runtime/src/wire/hello.rs
+++ b/cluster/replica-runtime/src/wire/hello.rs
@@ -1,6 +1,8 @@
 //! The hello of a connecting replica, its checks, and the answer to it.
 
-use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Deserializer, Serialize};
 use violetgate_raft::NodeId;
 
 use super::PROTOCOL_VERSION;
@@ -23,6 +25,18 @@
     pub to: NodeId,
     /// The random id of the connecting replica's disk.
     pub disk_id: u64,
+    /// The address at which the connecting replica listens, for answers to it. Hellos of versions
+    /// before end in front of this field, and those versions ignore it.
+    #[serde(deserialize_with = "none_if_absent")]
+    pub listen: Option<SocketAddr>,
+}
+
+/// Decodes a field that was added at the end of a message. It is `None` if the message ends before
+/// it.
+fn none_if_absent<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<SocketAddr>, D::Error> {
+    Ok(Option::deserialize(deserializer).unwrap_or(None))
 }
 
 /// The answer to a hello.
@@ -68,6 +82,7 @@
             from,
             to,
             disk_id,
+            listen: None,
         }
     }
 
--- a/cluster/replica-runtime/src/wire/tests.rs
+++ b/cluster/replica-runtime/src/wire/tests.rs
@@ -149,3 +149,26 @@
             .contains(expected));
     }
 }
+
+/// Guards against replicas of this version and the one before that reject each other in an upgrade:
+/// a hello of the version before has no address, and that version ignores what follows its fields.
+#[test]
+fn hellos_of_the_version_before_are_read_and_it_reads_those_of_this_one() {
+    type EarlierHello = ([u8; 4], u16, String, u64, u64, u64);
+    let hello = Hello {
+        listen: Some(([127, 0, 0, 1], 7480).into()),
+        ..Hello::new("lahore", 300, 2, 1 << 60)
+    };
+    let frame = encode_frame(&hello).unwrap();
+    let decoded = decode_frame::<Hello>(&frame, MAX_HELLO_BYTES);
+    assert_eq!(decoded.unwrap().unwrap().message, hello);
+    let earlier = decode_frame::<EarlierHello>(&frame, MAX_HELLO_BYTES);
+    let earlier = earlier.unwrap().unwrap().message;
+    assert_eq!((earlier.3, earlier.4, earlier.5), (300, 2, 1 << 60));
+    let frame = encode_frame(&earlier).unwrap();
+    let decoded = decode_frame::<Hello>(&frame, MAX_HELLO_BYTES);
+    assert_eq!(
+        decoded.unwrap().unwrap().message,
+        Hello::new("lahore", 300, 2, 1 << 60)
+    );
+}
--- a/gateway/src/replication/member.rs
+++ b/gateway/src/replication/member.rs
@@ -191,7 +191,8 @@
         let own = own_settings.cluster.as_ref();
         let own = own.unwrap_or(&self.settings_at_start).addresses();
         let transport = self.runtime.transport();
-        transport.set_peers(&config.addresses(&own));
+        transport.set_peers(&own);
+        transport.set_recorded_addresses(config.addresses());
         transport.set_known_disks(config.disk_ids());
     }
 
--- a/gateway/src/replication/shared_config/tests.rs
+++ b/gateway/src/replication/shared_config/tests.rs
@@ -239,10 +239,7 @@
     assert_eq!(record_member(&store, 4, &address(3, Some(5))), None);
     let config = SharedConfig::read(&store, "1");
     assert_eq!(config.disk_ids(), BTreeMap::from([(4, 5)]));
-    assert_eq!(
-        config.addresses(&BTreeMap::from([(4, at(9))])),
-        BTreeMap::from([(4, at(9))])
-    );
+    assert_eq!(config.addresses(), BTreeMap::from([(4, at(3))]));
 }
 
 /// Guards against changes of the stored encoding, which other versions of the program read.
--- a/gateway/src/replication/shared_config/view.rs
+++ b/gateway/src/replication/shared_config/view.rs
@@ -82,14 +82,11 @@
         changes
     }
 
-    /// Returns the addresses of the members. An address in this instance's own settings (`own`)
-    /// overrides the recorded one.
+    /// Returns the addresses that the members have recorded, by member id.
     #[must_use]
-    pub fn addresses(&self, own: &BTreeMap<u64, SocketAddr>) -> BTreeMap<u64, SocketAddr> {
-        let recorded = self.members.iter().map(|(id, member)| (*id, member.listen));
-        recorded
-            .chain(own.iter().map(|(id, address)| (*id, *address)))
-            .collect()
+    pub fn addresses(&self) -> BTreeMap<u64, SocketAddr> {
+        let members = self.members.iter();
+        members.map(|(id, member)| (*id, member.listen)).collect()
     }
 
     /// Returns the ids of the members' disks, by member id. Members with an unknown disk are left
