Number the calls of each process of a member from a random number

Cause: calls are numbered from 1 in each process; the leader's answer goes to whichever process has the member's id by then and is matched by the number alone.

Change: numbers follow a random 64-bit number of the operating system, which also enters the core's seed.

--- a/cluster/replica-runtime/src/runtime.rs
+++ b/cluster/replica-runtime/src/runtime.rs
@@ -75,6 +75,7 @@
     calls_for_others: Cell<usize>,
     /// Calls that are being carried out here.
     pending_calls: RefCell<BTreeMap<CallId, Rc<PendingAnswer>>>,
+    /// The id of the latest call. The first one follows a random number.
     last_call: Cell<CallId>,
     storage_jobs: mpsc::Sender<StorageJob>,
     tick_timer: Rc<TickTimer>,
--- a/cluster/replica-runtime/src/runtime/calls.rs
+++ b/cluster/replica-runtime/src/runtime/calls.rs
@@ -25,8 +25,10 @@
 }
 
 impl ReplicaRuntime {
+    /// Returns the id of a new call. The ids of different processes differ, as the leader may answer
+    /// a forwarded call after this replica was restarted.
     pub(super) fn next_call_id(&self) -> CallId {
-        self.last_call.set(self.last_call.get() + 1);
+        self.last_call.set(self.last_call.get().wrapping_add(1));
         self.last_call.get()
     }
 
--- a/cluster/replica-runtime/src/runtime/startup.rs
+++ b/cluster/replica-runtime/src/runtime/startup.rs
@@ -36,7 +36,7 @@
     pub members: BTreeMap<NodeId, SocketAddr>,
     /// The limits and intervals of the core.
     pub config: ReplicaConfig,
-    /// The seed of the core's random numbers.
+    /// A seed of the core's random numbers, in addition to those of the operating system.
     pub seed: u64,
 }
 
@@ -70,6 +70,9 @@
     /// The core rejected the configuration or the state from the folder.
     #[error(transparent)]
     Replica(#[from] ReplicaError),
+    /// The operating system provides no random number to tell this process from earlier ones.
+    #[error("no random number to tell this process from earlier ones: {0}")]
+    Random(getrandom::Error),
     /// The storage thread can't be started.
     #[error("can't start the storage thread: {0}")]
     Thread(std::io::Error),
@@ -118,7 +121,8 @@
         let listener = Async::<TcpListener>::bind(address)
             .map_err(|source| StartError::Listen { address, source })?;
         let disk_id = recovered.incarnation;
-        let replica = new_replica(options, recovered)?;
+        let process_number = random_number().map_err(StartError::Random)?;
+        let replica = new_replica(options, recovered, process_number)?;
         let StorageThread { jobs, events } = start_storage_thread(storage)?;
         let runtime = Rc::new_cyclic(|weak_self: &Weak<ReplicaRuntime>| ReplicaRuntime {
             weak_self: weak_self.clone(),
@@ -132,7 +136,7 @@
             forwarded_calls: RefCell::default(),
             calls_for_others: Cell::new(0),
             pending_calls: RefCell::default(),
-            last_call: Cell::new(0),
+            last_call: Cell::new(process_number),
             storage_jobs: jobs,
             tick_timer: Rc::default(),
             apply_wakers: RefCell::default(),
@@ -158,10 +162,19 @@
     }
 }
 
+/// Returns a random number of the operating system, which differs at each start even where the
+/// settings and their seed stay the same.
+fn random_number() -> Result<u64, getrandom::Error> {
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes)?;
+    Ok(u64::from_le_bytes(bytes))
+}
+
 /// Creates the core from the state that was read from its folder.
 fn new_replica(
     options: &ReplicaOptions,
     recovered: RecoveredState,
+    process_number: u64,
 ) -> Result<Replica, ReplicaError> {
     let initial = InitialState {
         hard_state: recovered.hard_state,
@@ -172,7 +185,7 @@
     let ReplicaOptions {
         id, config, seed, ..
     } = *options;
-    Replica::new(id, config, seed, initial, boot_time())
+    Replica::new(id, config, seed ^ process_number, initial, boot_time())
 }
 
 fn new_transport(
--- a/cluster/replica-runtime/src/wire/peer_message.rs
+++ b/cluster/replica-runtime/src/wire/peer_message.rs
@@ -32,7 +32,8 @@
     Raft(Message),
     /// A call for the receiver to carry out, as the sender takes it for the leader.
     ForwardCall {
-        /// The id that the answer is to carry, unique among the sender's calls.
+        /// The id that the answer is to carry, unique among the calls of all processes of the
+        /// sender.
         id: u64,
         /// The call to carry out.
         call: Call,
