Confirm linearizable reads by answers to this process and term only

Callers could have seen: a linearizable read that misses acknowledged changes.

Cause: read ids began at 1 in each process, heartbeat rounds at 1 in each term. The leader's answer to a read of the process before completed a new one with an older index. A follower that has adopted the leader's new term answers a delayed heartbeat of the earlier one with the new term and the earlier round, which then counted for rounds that had not begun.

--- a/cluster/raft/src/election.rs
+++ b/cluster/raft/src/election.rs
@@ -7,6 +7,7 @@
 
 use rand_chacha::rand_core::RngCore;
 
+use crate::heartbeat::first_round;
 use crate::progress::Progress;
 use crate::role::{LeaderState, RoleState};
 use crate::{HardState, LogPosition, Membership, Message, NodeId, Payload, RaftNode, Term};
@@ -188,6 +189,7 @@
         self.role = RoleState::Leader(Box::new(LeaderState {
             progress,
             first_index: next_index,
+            round: first_round(self.hard_state.term),
             next_heartbeat: self.now + self.config.heartbeat_interval,
             ..LeaderState::default()
         }));
--- a/cluster/raft/src/heartbeat.rs
+++ b/cluster/raft/src/heartbeat.rs
@@ -1,14 +1,24 @@
 //! A leader's periodic work: heartbeat rounds, and stepping down without a majority.
 //!
 //! Each round has a number that its responses echo. From it the leader knows which peers have
-//! answered since a given point in time, which linearizable reads require.
+//! answered since a given point in time, which linearizable reads require. The numbers of different
+//! terms differ: a peer answers a delayed message of an earlier term, possibly of an earlier process
+//! of the leader, with the current term and the number of the earlier round.
 
 use crate::role::RoleState;
-use crate::{NodeId, RaftNode};
+use crate::{NodeId, RaftNode, Term};
+
+/// The number of heartbeat rounds in a term, more than any leader begins.
+const ROUNDS_PER_TERM: u64 = 1 << 32;
 
 /// The timeout of unanswered messages, in heartbeat intervals.
 const TIMEOUT_IN_HEARTBEATS: u64 = 2;
 
+/// Returns the number from which the rounds of a term are counted.
+pub(crate) fn first_round(term: Term) -> u64 {
+    term.saturating_mul(ROUNDS_PER_TERM)
+}
+
 impl RaftNode {
     /// Steps down if a majority has not answered for an election timeout. Otherwise sends
     /// heartbeats when they are due.
--- a/cluster/raft/src/role.rs
+++ b/cluster/raft/src/role.rs
@@ -47,7 +47,7 @@
 pub(crate) struct LeaderState {
     /// The replication progress of each other node.
     pub(crate) progress: BTreeMap<NodeId, Progress>,
-    /// The number of the latest heartbeat round.
+    /// The number of the latest heartbeat round, counted from `first_round` of the term.
     pub(crate) round: u64,
     pub(crate) next_heartbeat: Micros,
     /// The index of the first entry of this leader's term.
--- a/cluster/replica/src/reads.rs
+++ b/cluster/replica/src/reads.rs
@@ -21,8 +21,10 @@
 }
 
 /// The reads that are not served yet.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct PendingReads {
+    /// The id of the latest read. Ids go to the leader and back by its answers, which can arrive
+    /// after a restart of this replica.
     last_id: u64,
     /// Reads that wait for a read index, by the read ids that were passed to Raft.
     awaiting_index: BTreeMap<u64, PendingRead>,
@@ -31,13 +33,22 @@
 }
 
 impl PendingReads {
+    /// Creates an empty collection whose ids follow `last_id`.
+    pub(crate) fn new(last_id: u64) -> Self {
+        PendingReads {
+            last_id,
+            awaiting_index: BTreeMap::new(),
+            awaiting_apply: Vec::new(),
+        }
+    }
+
     fn is_full(&self) -> bool {
         self.awaiting_index.len() + self.awaiting_apply.len() >= MAX_WAITING_CALLS
     }
 
     /// Adds a read and returns its id.
     fn insert(&mut self, read: PendingRead) -> u64 {
-        self.last_id += 1;
+        self.last_id = self.last_id.wrapping_add(1);
         if matches!(read, PendingRead::Confirmation(_)) {
             self.bound_confirmations();
         }
--- a/cluster/replica/src/replica.rs
+++ b/cluster/replica/src/replica.rs
@@ -47,7 +47,9 @@
 
 impl Replica {
     /// Creates a replica from the contents of its storage. `seed` determines Raft's random
-    /// timeouts. `now` is in microseconds.
+    /// timeouts, and the ids of reads follow it. It has to be a random number that is new with each
+    /// start of the replica: otherwise the leader's answer to a read of the process before could
+    /// complete a read of this one. `now` is in microseconds.
     ///
     /// # Errors
     ///
@@ -83,7 +85,7 @@
             guard,
             applied,
             pending_proposals: PendingProposals::default(),
-            reads: PendingReads::default(),
+            reads: PendingReads::new(seed),
             snapshots,
             confirm_at: now,
             wall_clock: 0,
