Draw request ids, session keys and probe numbers anew at each start

Callers saw: after a restart with an unchanged configuration file, REST queries get the request ids of the process before, by which engines take new queries for repeats; keys of sessions and numbers of fleet probes repeat as well.

Cause: all three are drawn from the configuration's seed alone. The platform writes a new one at each start; a daemon's file stays as it is.

Change: they are drawn from that seed and a random number of the operating system. Decisions keep the configured seed.

Measured: a_restarted_gateway_gives_queries_other_request_ids failed before (one id, twice) and passes.

--- a/fleet/membership/src/membership.rs
+++ b/fleet/membership/src/membership.rs
@@ -117,7 +117,9 @@
 
 impl Membership {
     /// Creates a member that knows only itself and `seeds`, the addresses at which others may be
-    /// found. `rng_seed` seeds the generator for its random choices.
+    /// found. `rng_seed` seeds the generator for its random choices, and probes are
+    /// numbered from it. It has to be random and new with each start: otherwise an answer to a probe
+    /// of the process before could count as the answer to a probe of this one.
     #[must_use]
     pub fn new(
         config: MembershipConfig,
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -65,13 +65,14 @@
         budget: ConnectionBudget,
     ) -> Result<Self, StartError> {
         let executor = Rc::new(LocalExecutor::new());
+        let process_seed = process_seed(config.seed)?;
         let DispatchParts {
             stats,
             participant,
             pool,
             dispatch,
             fleet,
-        } = DispatchParts::start(&executor, clock, &config, settings, budget)?;
+        } = DispatchParts::start(&executor, clock, &config, settings, budget, process_seed)?;
         let engine_ids = Rc::new(EngineIds::default());
         let retention = participant.as_ref().map(Participant::list_retention);
         let retention = retention.unwrap_or(ListRetention::Discard);
@@ -87,7 +88,7 @@
             names: &config.names,
             stats: &stats,
             drain: &drain,
-            seed: config.seed,
+            process_seed,
             budget,
         };
         let classes = &config.settings.classes;
@@ -141,10 +142,11 @@
         config: &Config,
         settings: &Settings,
         budget: ConnectionBudget,
+        process_seed: u64,
     ) -> Result<Self, StartError> {
         let class_names = config.names.classes.iter();
         let stats = Rc::new(Stats::new(class_names.map(|class| class.name.as_str())));
-        let participant = join_cluster(executor, settings, config.seed)?;
+        let participant = join_cluster(executor, settings, process_seed)?;
         let fence = participant.as_ref().map(Participant::fence);
         let pool = Pool::new(
             Rc::clone(executor),
@@ -157,7 +159,7 @@
         let dispatch = create_dispatch(clock, config, &pool, fence);
         let fleet_size = config.settings.gateways.unwrap_or(1);
         let fleet = settings.fleet.as_ref().map(|fleet| {
-            FleetMembership::start(executor, fleet, clock, config.seed, fleet_size, &dispatch)
+            FleetMembership::start(executor, fleet, clock, process_seed, fleet_size, &dispatch)
         });
         Ok(DispatchParts {
             fleet: fleet.transpose()?.map(Rc::new),
@@ -236,6 +238,15 @@
     executor.spawn(async move { pool.sweep().await }).detach();
 }
 
+/// Returns the seed of the numbers by which others recognise what comes from this process, such as
+/// the ids of requests, the keys of sessions and the numbers of probes. It differs at each start,
+/// even where the configuration with its seed is not written anew.
+pub(super) fn process_seed(configured: u64) -> Result<u64, StartError> {
+    let mut random = [0; 8];
+    getrandom::fill(&mut random).map_err(StartError::Random)?;
+    Ok(configured ^ u64::from_le_bytes(random))
+}
+
 /// The parts from which the PostgreSQL and the REST front end are created.
 struct FrontEnds<'a> {
     executor: &'a Rc<LocalExecutor<'static>>,
@@ -243,7 +254,7 @@
     names: &'a NameTable,
     stats: &'a Rc<Stats>,
     drain: &'a Rc<DrainState>,
-    seed: u64,
+    process_seed: u64,
     budget: ConnectionBudget,
 }
 
@@ -301,7 +312,7 @@
     }
 
     fn new_rng(&self, stream: u64) -> ChaCha8Rng {
-        let mut rng = ChaCha8Rng::seed_from_u64(self.seed);
+        let mut rng = ChaCha8Rng::seed_from_u64(self.process_seed);
         rng.set_stream(stream);
         rng
     }
--- a/gateway/src/serve/error.rs
+++ b/gateway/src/serve/error.rs
@@ -35,8 +35,8 @@
     /// Signal handlers can't be installed.
     #[error("can't receive signals: {0}")]
     Signals(std::io::Error),
-    /// The system provides no random numbers for the secret that seals result tokens.
-    #[error("can't get random numbers for result tokens: {0}")]
+    /// The system provides no random numbers, which seal result tokens and number requests.
+    #[error("can't get random numbers for tokens and request ids: {0}")]
     Random(getrandom::Error),
     /// The gateway can't start as a member or subscriber of its cluster.
     #[error("{0}")]
--- a/gateway/tests/rest/lifecycle.rs
+++ b/gateway/tests/rest/lifecycle.rs
@@ -133,3 +133,19 @@
         log.len()
     );
 }
+
+/// Guards against a restarted gateway that gives queries the request ids of the process before, by
+/// which engines take them for repeats. The configuration with its seed stays the same.
+#[test]
+fn a_restarted_gateway_gives_queries_other_request_ids() {
+    let mut gateway = GatewayProcess::start(1, "", WINDOW);
+    let query = report(10_000, "rows=1");
+    assert_eq!(gateway.post_query(&query, None).status, 200);
+    gateway.child.kill().unwrap();
+    gateway.child.wait().unwrap();
+    gateway.restart();
+    gateway.wait_until_healthy();
+    assert_eq!(gateway.post_query(&query, None).status, 200);
+    let counts = gateway.upstreams.counts();
+    assert_eq!(counts.by_request.len(), 2, "{:?}", counts.by_request);
+}
