Begin no query for a client that has gone, and serve one that still reads

A client that closed only its sending side lost its answers, over both protocols.

Cause: the HTTP server does not read while a request is open and further bytes wait in its buffer, and nothing else looked; where the end of the stream was seen, it was taken for the end of the connection. Whether somebody still waits can't be told from the end of the stream, so both had to change together: looking earlier alone would have taken more answers from those that still read.

Change: both front ends ask one function (net/peer.rs) before a query is submitted and until it is answered. It sends a client whose stream has ended, or may have ended behind unread input, what its protocol makes it ignore; a closed connection answers with a reset. The test client skips 102, as HTTP asks.

--- a/fake-upstreams/src/client/http.rs
+++ b/fake-upstreams/src/client/http.rs
@@ -11,6 +11,8 @@
 
 /// The status of an interim response, which has no body.
 const CONTINUE: u16 = 100;
+/// The status of an interim response that asks nothing of the client.
+const PROCESSING: u16 = 102;
 
 /// An HTTP response, read to its end.
 #[derive(Debug, Clone)]
@@ -129,14 +131,18 @@
         self.read()
     }
 
-    /// Reads the next response.
+    /// Reads the next response, and skips interim ones (102) before it.
     ///
     /// # Errors
     ///
     /// Fails if the connection is broken or the bytes are not an HTTP response.
     pub fn read(&mut self) -> Result<Reply> {
-        let status = self.read_status()?;
-        let headers = self.read_headers()?;
+        let mut status = self.read_status()?;
+        let mut headers = self.read_headers()?;
+        while status == PROCESSING {
+            status = self.read_status()?;
+            headers = self.read_headers()?;
+        }
         let length = headers.get("content-length");
         let length: usize = length.map_or(Ok(0), |n| n.parse()).map_err(invalid_data)?;
         let has_no_body = self.last_was_head || status == CONTINUE;
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -1,15 +1,18 @@
 //! Socket helpers: listening on an address shared with another process, and closing a connection
 //! without a reset.
 
+mod peer;
+
 use std::io::Read;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
-use rustix::event::{PollFd, PollFlags, Timespec};
 use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
 
+pub use peer::{is_waiting, wait_until_gone};
+
 /// The number of connections that the kernel may queue until they are accepted. A burst of clients
 /// that connect and send nothing fills a queue of 128 connections, the standard library's size. The
 /// kernel then drops further connections, and regular clients among them retry only after one,
@@ -42,21 +45,6 @@
     Async::new(TcpListener::from(socket))
 }
 
-/// Returns whether the peer has closed the connection, even if data that it sent before is unread.
-#[must_use]
-pub fn has_hung_up(stream: &Async<TcpStream>) -> bool {
-    let hang_up = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
-    let mut descriptors = [PollFd::new(stream.get_ref(), PollFlags::RDHUP)];
-    let now = Timespec {
-        tv_sec: 0,
-        tv_nsec: 0,
-    };
-    rustix::event::poll(&mut descriptors, Some(&now)).is_ok()
-        && descriptors
-            .iter()
-            .any(|descriptor| descriptor.revents().intersects(hang_up))
-}
-
 /// Shuts down the sending side, then reads and discards what the peer still sends, within
 /// `LINGER_TIME` and `LINGER_BYTES`. The socket option `SO_LINGER` is not used.
 pub async fn linger(stream: &Async<TcpStream>) {
--- a/gateway/src/postgres/codec.rs
+++ b/gateway/src/postgres/codec.rs
@@ -187,6 +187,10 @@
     out.push(0);
 }
 
+/// A ParameterStatus that repeats what each session is told at its start. Clients take one at any
+/// time, and this one changes nothing.
+pub const PARAMETER_STATUS: &[u8] = b"S\0\0\0\x19client_encoding\0UTF8\0";
+
 /// Appends the answer to a StartupMessage, up to and including the first ReadyForQuery.
 pub fn write_startup_response(out: &mut Vec<u8>, minor: u16, options: &[&str], key: CancelKey) {
     if minor > 0 || !options.is_empty() {
--- a/gateway/src/postgres/session/mod.rs
+++ b/gateway/src/postgres/session/mod.rs
@@ -48,6 +48,8 @@
     slot: &'a Rc<ConnectionSlot>,
     stream: Rc<Async<TcpStream>>,
     input: Vec<u8>,
+    /// Whether the end of the client's stream was read. The client may still wait for answers.
+    input_ended: bool,
     /// When input was last read, in microseconds since the Unix epoch. This is the time at which
     /// the current query counts as received.
     read_at: Micros,
@@ -96,6 +98,7 @@
             slot,
             stream,
             input: Vec::new(),
+            input_ended: false,
             read_at: 0,
             output: Vec::new(),
             cancel_target: None,
--- a/gateway/src/postgres/session/query.rs
+++ b/gateway/src/postgres/session/query.rs
@@ -3,9 +3,7 @@
 use std::cell::Cell;
 use std::io::{self, Read};
 use std::rc::Rc;
-use std::time::Duration;
 
-use async_io::Timer;
 use futures_lite::FutureExt;
 
 use super::super::codec;
@@ -18,15 +16,12 @@
 use crate::net;
 use crate::stats::RequestEnding;
 
-/// The time between checks whether a client has disconnected whose buffered input has reached the
-/// read-ahead limit.
-const HANG_UP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-
 /// An event that interrupts or ends the wait for an answer.
 enum WaitEvent {
     Answer(Answer),
     Cancelled,
     Read(io::Result<usize>),
+    ClientGone,
 }
 
 /// Counts a query as busy from the creation of the guard to its drop, also if writing the answer
@@ -100,6 +95,9 @@
         // The client may have disconnected or cancelled the request before it was read. The request
         // is then not submitted.
         self.read_ahead()?;
+        if !self.is_client_waiting().await {
+            return Err(SessionEnd::ClosedDuringQuery);
+        }
         if self.take_cancelled() {
             return Ok(self.write_cancelled());
         }
@@ -133,12 +131,14 @@
                 WaitEvent::Read(Ok(size)) if size > 0 => {
                     self.take_input(chunk.get(..size).unwrap_or_default());
                 }
-                WaitEvent::Read(read) => {
+                WaitEvent::Read(Ok(_)) => self.input_ended = true,
+                WaitEvent::Read(Err(_)) => {
                     self.sessions.sink.withdraw(exchange.id());
-                    return Err(match read {
-                        Ok(_) => SessionEnd::ClosedDuringQuery,
-                        Err(_) => SessionEnd::Reset,
-                    });
+                    return Err(SessionEnd::Reset);
+                }
+                WaitEvent::ClientGone => {
+                    self.sessions.sink.withdraw(exchange.id());
+                    return Err(SessionEnd::ClosedDuringQuery);
                 }
             }
         }
@@ -153,16 +153,14 @@
     }
 
     /// Reads from the client, because the end of the stream is noticed only after everything before
-    /// it is read. If the read-ahead limit is reached, waits until the kernel reports that the
-    /// client has closed the connection.
+    /// it is read. At that end, or if the read-ahead limit is reached, waits until the client has
+    /// gone.
     async fn wait_for_input(&self, chunk: &mut [u8]) -> WaitEvent {
         if self.may_read_ahead() {
             let read = self.stream.read_with(|mut socket| socket.read(chunk));
             return WaitEvent::Read(read.await);
         }
-        while !net::has_hung_up(&self.stream) {
-            Timer::after(HANG_UP_CHECK_INTERVAL).await;
-        }
-        WaitEvent::Read(Ok(0))
+        net::wait_until_gone(&self.stream, Some(codec::PARAMETER_STATUS)).await;
+        WaitEvent::ClientGone
     }
 }
--- a/gateway/src/postgres/session/socket.rs
+++ b/gateway/src/postgres/session/socket.rs
@@ -6,6 +6,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 
+use super::super::codec;
 use super::super::session_end::SessionEnd;
 use super::Session;
 use crate::net;
@@ -25,7 +26,13 @@
     }
 
     pub(super) fn may_read_ahead(&self) -> bool {
-        self.input.len() < READ_AHEAD_BYTES
+        self.input.len() < READ_AHEAD_BYTES && !self.input_ended
+    }
+
+    /// Returns whether the client may still wait for an answer. Must not be called while a message
+    /// to the client is written in part.
+    pub(super) async fn is_client_waiting(&self) -> bool {
+        self.may_read_ahead() || net::is_waiting(&self.stream, Some(codec::PARAMETER_STATUS)).await
     }
 
     /// Waits for input and reads one chunk.
@@ -44,22 +51,18 @@
 
     /// Reads the input that has already arrived, up to the read-ahead limit, without waiting.
     ///
-    /// Fails if the client has disconnected. If the limit is reached before the end of the stream,
-    /// asks the kernel whether the client has disconnected.
+    /// Fails if the connection was reset.
     pub(super) fn read_ahead(&mut self) -> Result<(), SessionEnd> {
         let mut chunk = [0u8; READ_CHUNK_BYTES];
         while self.may_read_ahead() {
             match self.stream.get_ref().read(&mut chunk) {
-                Ok(0) => return Err(SessionEnd::ClosedDuringQuery),
+                Ok(0) => self.input_ended = true,
                 Ok(size) => self.take_input(chunk.get(..size).unwrap_or_default()),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(_) => return Err(SessionEnd::Reset),
             }
         }
-        if net::has_hung_up(&self.stream) {
-            return Err(SessionEnd::ClosedDuringQuery);
-        }
         Ok(())
     }
 
--- a/gateway/src/postgres/tests/disconnects.rs
+++ b/gateway/src/postgres/tests/disconnects.rs
@@ -112,3 +112,36 @@
     assert_eq!(*server.sink.submitted.borrow(), [1]);
     server.run_until("the session ends", || server.sessions.len() == 0);
 }
+
+/// Guards against a query that begins for a client which has gone while its query before was open.
+#[test]
+fn no_query_begins_for_a_client_that_went_during_the_one_before() {
+    let server = TestServer::new(8);
+    let (mut client, _) = server.session();
+    (1..=2).for_each(|id| client.send(&query(id)));
+    server.run_until("submitted", || server.sink.submitted.borrow().len() == 1);
+    drop(client);
+    server.run_until("the session ends", || server.sessions.len() == 0);
+    assert_eq!(*server.sink.withdrawn.borrow(), [1]);
+    assert_eq!(*server.sink.submitted.borrow(), [1]);
+}
+
+/// Guards against a client that is taken for gone as it has closed its sending side only: it gets
+/// the answers to all that it has sent.
+#[test]
+fn a_client_that_closed_only_its_sending_side_gets_its_answers() {
+    let server = TestServer::new(8);
+    let (mut client, _) = server.session();
+    (1..=2).for_each(|id| client.send(&query(id)));
+    client.stream.shutdown(Shutdown::Write).unwrap();
+    for id in 1..=2 {
+        server.run_until("submitted", || {
+            server.sink.submitted.borrow().len() == id as usize
+        });
+        client.received.clear();
+        server.sink.reject(id);
+        server.run_until("answered", || client.received_code("53000"));
+    }
+    server.run_until("the session ends", || client.reached_end());
+    assert!(server.sink.withdrawn.borrow().is_empty());
+}
--- a/gateway/src/rest/connection.rs
+++ b/gateway/src/rest/connection.rs
@@ -12,6 +12,7 @@
 use smol_hyper::rt::FuturesIo;
 use violetgate_policy::interface::Micros;
 
+use super::client_monitor::ClientMonitor;
 use super::connection_end::ConnectionEnd;
 use super::watch::{ConnectionWatch, Phase, PhaseTimeouts, WatchedStream};
 use super::{write_raw, RestFrontend};
@@ -33,7 +34,7 @@
     ) {
         let _ = stream.get_ref().set_nodelay(true);
         let stream = Rc::new(stream);
-        let watch = ConnectionWatch::new(self.parts.clock, Rc::clone(&slot));
+        let watch = ConnectionWatch::new(self.parts.clock, Rc::clone(&slot), Rc::clone(&stream));
         let end = self.serve(&stream, &watch, &slot).await;
         if watch.has_unread_input.get() {
             net::linger(&stream).await;
@@ -69,11 +70,14 @@
         let io = FuturesIo::new(WatchedStream::new(Rc::clone(stream), Rc::clone(watch)));
         let mut server = pin!(hyper::server::conn::http1::Builder::new()
             .header_read_timeout(None)
+            // A client that has closed only its sending side still gets its answers.
+            .half_close(true)
             .max_buf_size(max_head_bytes)
             .max_headers(MAX_HEADERS)
             .serve_connection(io, service));
         let mut close_requested = pin!(slot.close_requested());
         let mut closing = None;
+        let mut monitor = ClientMonitor::new(Rc::clone(stream));
         let mut timer = DeadlineTimer::new(self.parts.clock);
         let ended = poll_fn(|context| {
             if let Poll::Ready(result) = server.as_mut().poll(context) {
@@ -89,6 +93,9 @@
                     }
                 }
             }
+            if monitor.poll(watch, context).is_ready() {
+                return Poll::Ready(Err(ConnectionEnd::ClosedDuringRequest));
+            }
             timer.poll(watch, &timeouts, context).map(Err)
         })
         .await;
--- a/gateway/src/rest/mod.rs
+++ b/gateway/src/rest/mod.rs
@@ -7,6 +7,7 @@
 //! results, if their idempotency key was used with another query, or if the outcome of an earlier
 //! query with the same key is unknown.
 
+mod client_monitor;
 mod connection;
 mod connection_end;
 mod metrics;
--- a/gateway/src/rest/queries.rs
+++ b/gateway/src/rest/queries.rs
@@ -1,5 +1,6 @@
 //! `POST /v1/queries`: runs a query and returns the first page of its result.
 
+use std::future;
 use std::rc::Rc;
 
 use hyper::{HeaderMap, StatusCode};
@@ -83,6 +84,11 @@
         let expires_at = request
             .received
             .saturating_add(request.query.client_timeout);
+        let _open = watch.open_query();
+        if !watch.is_client_waiting().await {
+            // The connection's monitor notices it as well, and drops this query.
+            future::pending::<()>().await;
+        }
         let exchange = Exchange::new(request);
         self.parts.sink.submit(&exchange)?;
         let guard = WithdrawGuard {
--- a/gateway/src/rest/routes.rs
+++ b/gateway/src/rest/routes.rs
@@ -40,6 +40,7 @@
         watch: &Rc<ConnectionWatch>,
     ) -> Reply {
         watch.set_phase(Phase::Request);
+        watch.set_version(request.version());
         let _busy = BusyGuard::new(&self.busy);
         let mut reply = self.route(request, watch).await.unwrap_or_else(|error| {
             if error.closes_connection {
--- a/gateway/src/rest/watch.rs
+++ b/gateway/src/rest/watch.rs
@@ -12,11 +12,16 @@
 
 use async_io::Async;
 use futures_lite::{ready, AsyncRead, AsyncWrite};
+use hyper::Version;
 use violetgate_policy::interface::Micros;
 
 use super::connection_end::ConnectionEnd;
 use crate::clock::{micros, Clock};
 use crate::connection_limit::{ConnectionSlot, ConnectionState};
+use crate::net;
+
+/// An interim response, which clients of HTTP/1.1 ignore (RFC 9110, section 15.2).
+const INTERIM_RESPONSE: &[u8] = b"HTTP/1.1 102 Processing\r\n\r\n";
 
 /// The phase of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -62,6 +67,11 @@
     blocked_since: Cell<Option<Micros>>,
     /// The number of requests answered so far.
     pub answered: Cell<u64>,
+    /// Whether a query waits for its answer.
+    has_open_query: Cell<bool>,
+    /// Whether the client of the current request takes interim responses.
+    takes_interim_responses: Cell<bool>,
+    stream: Rc<Async<TcpStream>>,
     /// Whether a request was answered before its input was read completely. The rest has to be read
     /// and discarded before the connection closes.
     pub has_unread_input: Cell<bool>,
@@ -69,7 +79,11 @@
 
 impl ConnectionWatch {
     /// Creates the state of a connection that was just accepted.
-    pub(super) fn new(clock: Clock, slot: Rc<ConnectionSlot>) -> Rc<Self> {
+    pub(super) fn new(
+        clock: Clock,
+        slot: Rc<ConnectionSlot>,
+        stream: Rc<Async<TcpStream>>,
+    ) -> Rc<Self> {
         Rc::new(ConnectionWatch {
             clock,
             slot,
@@ -77,6 +91,9 @@
             since: Cell::new(clock.now()),
             blocked_since: Cell::new(None),
             answered: Cell::new(0),
+            has_open_query: Cell::new(false),
+            takes_interim_responses: Cell::new(false),
+            stream,
             has_unread_input: Cell::new(false),
         })
     }
@@ -101,6 +118,38 @@
         self.slot.set_state(state, now);
     }
 
+    /// Records the HTTP version of the current request. Interim responses came with HTTP/1.1.
+    pub(super) fn set_version(&self, version: Version) {
+        self.takes_interim_responses
+            .set(version >= Version::HTTP_11);
+    }
+
+    /// Records that a query is open until the returned guard is dropped.
+    pub(super) fn open_query(&self) -> OpenQueryGuard<'_> {
+        self.has_open_query.set(true);
+        OpenQueryGuard(self)
+    }
+
+    pub(super) fn has_open_query(&self) -> bool {
+        self.has_open_query.get()
+    }
+
+    /// Returns a message that the client ignores while it waits for the answer to the current
+    /// request, or `None` if it ignores none. It is empty while writes are blocked: a client that
+    /// has gone answers with a reset to what is being written.
+    pub(super) fn ignored_message(&self) -> Option<&'static [u8]> {
+        let message: &[u8] = match self.blocked_since.get() {
+            None => INTERIM_RESPONSE,
+            Some(_) => &[],
+        };
+        self.takes_interim_responses.get().then_some(message)
+    }
+
+    /// Returns whether the client of the current request may still wait for its answer.
+    pub(super) async fn is_client_waiting(&self) -> bool {
+        net::is_waiting(&self.stream, self.ignored_message()).await
+    }
+
     /// Records the time, in microseconds since the Unix epoch, until which the client can fetch
     /// further pages, which only this process has.
     pub(super) fn set_sticky_until(&self, until: Micros) {
@@ -137,6 +186,15 @@
     }
 }
 
+/// Marks a query as open until it is dropped.
+pub(super) struct OpenQueryGuard<'a>(&'a ConnectionWatch);
+
+impl Drop for OpenQueryGuard<'_> {
+    fn drop(&mut self) {
+        self.0.has_open_query.set(false);
+    }
+}
+
 /// The stream through which the HTTP server reads and writes. It updates the connection's
 /// [`ConnectionWatch`].
 pub(super) struct WatchedStream {
--- a/gateway/tests/rest/main.rs
+++ b/gateway/tests/rest/main.rs
@@ -7,6 +7,7 @@
     reason = "a failed step fails the test"
 )]
 
+mod disconnects;
 mod idempotency;
 mod lifecycle;
 mod limits;
