Restart single members as well in the test of joined members

Need: one, two or all members may be restarted; the test had two and all. Change: two more rounds, in which the first and the last member are restarted alone.

--- a/gateway/tests/cluster/restart.rs
+++ b/gateway/tests/cluster/restart.rs
@@ -76,7 +76,7 @@
     Api::new(&one.api).put("tariff", "summer");
     let mut members = [one, two, three];
     // Without a leader, a member reads nothing.
-    for restarted in [&[0, 1][..], &[1, 2], &[0, 1, 2]] {
+    for restarted in [&[0][..], &[2], &[0, 1], &[1, 2], &[0, 1, 2]] {
         for index in restarted {
             members[*index].kill();
         }
