--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -88,6 +88,7 @@
             names: &config.names,
             stats: &stats,
             drain: &drain,
+            seed: config.seed,
             process_seed,
             budget,
         };
@@ -238,9 +239,9 @@
     executor.spawn(async move { pool.sweep().await }).detach();
 }
 
-/// Returns the seed of the numbers by which others recognise what comes from this process, such as
-/// the ids of requests, the keys of sessions and the numbers of probes. It differs at each start,
-/// even where the configuration with its seed is not written anew.
+/// Returns the seed of the numbers by which other processes recognise what comes from this one, such
+/// as the ids of requests and the numbers of probes. It differs at each start, even where the
+/// configuration with its seed is not written anew.
 pub(super) fn process_seed(configured: u64) -> Result<u64, StartError> {
     let mut random = [0; 8];
     getrandom::fill(&mut random).map_err(StartError::Random)?;
@@ -254,6 +255,9 @@
     names: &'a NameTable,
     stats: &'a Rc<Stats>,
     drain: &'a Rc<DrainState>,
+    /// The configured seed.
+    seed: u64,
+    /// See [`process_seed`].
     process_seed: u64,
     budget: ConnectionBudget,
 }
@@ -294,7 +298,7 @@
             results: Rc::new(RefCell::new(results)),
             idempotency,
         };
-        let rng = self.new_rng(REST_ID_STREAM);
+        let rng = new_rng(self.process_seed, REST_ID_STREAM);
         let rest = RestFrontend::new(parts, rest_settings, self.budget.rest, rng);
         Ok((self.create_sessions(sink), Some(rest)))
     }
@@ -307,13 +311,13 @@
             Rc::clone(self.stats),
             Rc::clone(self.drain),
             self.budget.postgres,
-            self.new_rng(CANCEL_KEY_STREAM),
+            new_rng(self.seed, CANCEL_KEY_STREAM),
         )
     }
+}
 
-    fn new_rng(&self, stream: u64) -> ChaCha8Rng {
-        let mut rng = ChaCha8Rng::seed_from_u64(self.process_seed);
-        rng.set_stream(stream);
-        rng
-    }
+fn new_rng(seed: u64, stream: u64) -> ChaCha8Rng {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(stream);
+    rng
 }
