Bound clients' input and open statements by limits.memory_mb

Cause: nothing read limits.memory_mb. Each of 512 sessions could hold a buffer of 128 KiB for a message of 64 KiB, another 16 KiB read ahead, a copy of the SQL text and a copy of the statement. Change: the package memory-budget is one limit, derived from limits.memory_mb, that bytes are charged to where they are held. Each purpose has a guaranteed share. If input does not fit, the buffer of the oldest client without a complete request is dropped at once and its connection closed (memory_limit, 53200). A statement that does not fit is rejected with 53200 and the session goes on; small ones have a share that large ones can't use. The SQL text is parsed in place, and results are encoded in parts. Why it works: a byte is charged before it is stored, and reclaimed input is dropped in the same step.

--- a/gateway/src/admin/mod.rs
+++ b/gateway/src/admin/mod.rs
@@ -19,6 +19,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, FutureExt};
 use serde::Deserialize;
+use violetgate_memory_budget::MemoryBudget;
 
 use crate::clock::Clock;
 use crate::connection_limit::{ConnectionLimiter, ConnectionSlot, ConnectionState};
@@ -146,12 +147,13 @@
         executor: Rc<LocalExecutor<'static>>,
         clock: Clock,
         operations: Rc<dyn Operations>,
+        memory: MemoryBudget,
     ) -> Rc<Self> {
         Rc::new(Admin {
             executor,
             clock,
             operations,
-            limiter: ConnectionLimiter::new(MAX_CONNECTIONS),
+            limiter: ConnectionLimiter::new(MAX_CONNECTIONS, memory),
         })
     }
 
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -12,6 +12,8 @@
 use violetgate_policy::Settings;
 
 const DEFAULT_MAX_SOCKETS: usize = 1024;
+const DEFAULT_MEMORY_MB: u64 = 192;
+const BYTES_PER_MB: u64 = 1_000_000;
 const DEFAULT_CONNECT_TIMEOUT_S: f64 = 0.25;
 const DEFAULT_IDLE_CLOSE_S: f64 = 30.0;
 const DEFAULT_STREAMS_PER_CONNECTION: usize = 100;
@@ -86,6 +88,9 @@
     pub seed: u64,
     /// The maximum number of file descriptors that this process may hold.
     pub max_sockets: usize,
+    /// The maximum resident memory of this process in bytes. During an upgrade, the two processes
+    /// share it.
+    pub max_memory_bytes: u64,
     /// The address of the event bus.
     pub bus: SocketAddr,
     /// The events that build the initial engine list. The event bus is followed from the last one.
@@ -162,6 +167,14 @@
 #[derive(Deserialize, Default)]
 struct ProcessLimits {
     sockets: Option<usize>,
+    memory_mb: Option<u64>,
+}
+
+impl ProcessLimits {
+    fn max_memory_bytes(&self) -> u64 {
+        let memory_mb = self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB);
+        memory_mb.saturating_mul(BYTES_PER_MB)
+    }
 }
 
 /// The fields of `settings` that the gateway uses itself. The decision module reads the `settings`
@@ -271,6 +284,7 @@
             management,
             seed: u64::from_str_radix(&file.seed, 16).map_err(ConfigTextError::Seed)?,
             max_sockets: file.limits.sockets.unwrap_or(DEFAULT_MAX_SOCKETS),
+            max_memory_bytes: file.limits.max_memory_bytes(),
             bus: parse_address("bus", &file.bus)?,
             initial_events: file.known,
             settings: with_max_retry_after(settings, &own.limits),
--- a/gateway/src/connection_limit/tests.rs
+++ b/gateway/src/connection_limit/tests.rs
@@ -5,6 +5,7 @@
     reason = "a failed step fails the test"
 )]
 
+use super::slot::FIRST_MESSAGE_GRACE_US;
 use super::*;
 
 /// Unresponsive connections are evicted before idle ones, and the longest idle one first. Busy
@@ -12,7 +13,7 @@
 #[test]
 fn unresponsive_and_idle_connections_are_evicted_and_busy_ones_are_not() {
     const NOW: Micros = 2 + FIRST_MESSAGE_GRACE_US;
-    let limiter = ConnectionLimiter::new(4);
+    let limiter = ConnectionLimiter::new(4, MemoryBudget::new(1_000));
     let states = [
         ConnectionState::Idle,
         ConnectionState::Busy,
--- a/gateway/src/dispatch/tests/mod.rs
+++ b/gateway/src/dispatch/tests/mod.rs
@@ -21,6 +21,7 @@
 use crate::exchange::{
     Attempt, AttemptEnd, AttemptEvents as _, CancelOutcome, Exchange, Request, RequestIdInUse,
 };
+use crate::request_memory::RequestMemory;
 
 /// A fake upstream side that records its calls and ends no attempt by itself. It is also the fence.
 #[derive(Default)]
@@ -151,7 +152,8 @@
         id_text: "".into(),
         class: "".into(),
         idempotency_key: None,
-        statement: Box::default(),
+        statement: Rc::default(),
+        memory: RequestMemory::default(),
     }
 }
 
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -16,6 +16,8 @@
     Cost, Engine, EngineId, ListScope, Micros, NewQuery, Outcome, Progress, QueryId,
 };
 
+use crate::request_memory::RequestMemory;
+
 /// The part of a client's timeout, in microseconds, that is reserved for the transit of the request
 /// and of its answer, and for the rounding of the timeout to milliseconds. An answer given at the
 /// very end of the timeout would arrive after the client has stopped waiting.
@@ -49,7 +51,9 @@
     /// The idempotency key, if the request has one.
     pub idempotency_key: Option<Box<str>>,
     /// The statement, without the comment that carried the request's fields.
-    pub statement: Box<[u8]>,
+    pub statement: Rc<[u8]>,
+    /// The memory of the request, while it is open.
+    pub memory: RequestMemory,
 }
 
 impl Request {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod net;
 mod postgres;
 mod replication;
+mod request_memory;
 mod request_validation;
 mod rest;
 mod serve;
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -2,6 +2,7 @@
 //! without a reset.
 
 mod peer;
+mod shared_buffer;
 
 use std::io::Read;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -12,6 +13,7 @@
 use rustix::net::{sockopt, AddressFamily, SocketFlags, SocketType};
 
 pub use peer::{is_waiting, wait_until_gone};
+pub use shared_buffer::read_shared;
 
 /// The number of connections that the kernel may queue until they are accepted. A burst of clients
 /// that connect and send nothing fills a queue of 128 connections, the standard library's size. The
--- a/gateway/src/postgres/codec.rs
+++ b/gateway/src/postgres/codec.rs
@@ -35,7 +35,7 @@
 
 /// A start-up packet, which a client sends first on a connection.
 #[derive(Debug, PartialEq, Eq)]
-pub enum Startup<'a> {
+pub enum Startup {
     /// SSLRequest or GSSENCRequest: the client requests encryption.
     Encryption,
     /// CancelRequest, with the key of the session whose query is to be cancelled.
@@ -45,9 +45,9 @@
         /// The requested minor version of the protocol.
         minor: u16,
         /// The names of the requested protocol options, none of which is supported.
-        options: Vec<&'a str>,
+        options: Vec<String>,
         /// The user name, if it is present and not empty.
-        user: Option<&'a str>,
+        user: Option<String>,
     },
 }
 
@@ -69,7 +69,7 @@
 /// # Errors
 ///
 /// Returns an error if the bytes can't be a start-up packet or the beginning of one.
-pub fn parse_startup(bytes: &[u8]) -> Result<Option<(Startup<'_>, usize)>, Malformed> {
+pub fn parse_startup(bytes: &[u8]) -> Result<Option<(Startup, usize)>, Malformed> {
     let Some(length) = read_u32(bytes, 0) else {
         return Ok(None);
     };
@@ -93,7 +93,7 @@
     Ok(Some((startup, length)))
 }
 
-fn parse_parameters(packet: &[u8], minor: u16) -> Result<Startup<'_>, Malformed> {
+fn parse_parameters(packet: &[u8], minor: u16) -> Result<Startup, Malformed> {
     let body = packet.get(8..).and_then(|body| body.strip_suffix(&[0]));
     let body = body.ok_or(BAD_STARTUP_LAYOUT)?;
     let (mut options, mut user) = (Vec::new(), None);
@@ -107,9 +107,9 @@
                 _ => return Err(BAD_STARTUP_LAYOUT),
             };
             if name.starts_with("_pq_.") {
-                options.push(name);
+                options.push(name.to_owned());
             } else if name == "user" {
-                user = Some(value).filter(|user| !user.is_empty());
+                user = Some(value.to_owned()).filter(|user| !user.is_empty());
             }
         }
     }
@@ -120,23 +120,21 @@
     })
 }
 
-/// A message that a client sends after the start of a session.
+/// The type and size of a message that a client sends after the start of a session.
 #[derive(Debug, PartialEq, Eq)]
-pub struct Message<'a> {
+pub struct MessageHead {
     /// The type byte.
     pub kind: u8,
-    /// The content after the type and the length.
-    pub body: &'a [u8],
     /// The size in bytes, including the type and the length.
     pub size: usize,
 }
 
-/// Reads a message of a session. Returns `None` if it is incomplete.
+/// Reads the head of a message of a session. Returns `None` if the message is incomplete.
 ///
 /// # Errors
 ///
 /// Returns an error if the type of the message is unknown or its length is out of range.
-pub fn parse_message(bytes: &[u8]) -> Result<Option<Message<'_>>, Malformed> {
+pub fn message_head(bytes: &[u8]) -> Result<Option<MessageHead>, Malformed> {
     let Some(&kind) = bytes.first() else {
         return Ok(None);
     };
@@ -150,12 +148,24 @@
     if !(4..=MAX_MESSAGE_BYTES).contains(&length) {
         return Err(Malformed("invalid message length"));
     }
-    let body = bytes.get(5..=length);
-    Ok(body.map(|body| Message {
-        kind,
-        body,
-        size: length + 1,
-    }))
+    let size = length + 1;
+    Ok((bytes.len() >= size).then_some(MessageHead { kind, size }))
+}
+
+/// Returns the size in bytes that the message at the start of `bytes` states, including its type and
+/// length. `None`: its length has not arrived, or is out of range.
+#[must_use]
+pub fn message_size(bytes: &[u8]) -> Option<usize> {
+    let length = read_u32(bytes, 1)? as usize;
+    (4..=MAX_MESSAGE_BYTES)
+        .contains(&length)
+        .then_some(length + 1)
+}
+
+/// Returns the content of a complete message, after its type and length.
+#[must_use]
+pub fn message_body(message: &[u8]) -> &[u8] {
+    message.get(5..).unwrap_or_default()
 }
 
 /// Returns the SQL text of a Query message.
@@ -192,7 +202,7 @@
 pub const PARAMETER_STATUS: &[u8] = b"S\0\0\0\x19client_encoding\0UTF8\0";
 
 /// Appends the answer to a StartupMessage, up to and including the first ReadyForQuery.
-pub fn write_startup_response(out: &mut Vec<u8>, minor: u16, options: &[&str], key: CancelKey) {
+pub fn write_startup_response(out: &mut Vec<u8>, minor: u16, options: &[String], key: CancelKey) {
     if minor > 0 || !options.is_empty() {
         // NegotiateProtocolVersion: only version 3.0 without options is supported.
         write_message(out, b'v', |body| {
@@ -288,26 +298,27 @@
     });
 }
 
-/// Appends a complete result: a RowDescription of three text columns, the rows of all pages
-/// unchanged and in order, and CommandComplete.
-///
-/// In a page a line feed ends each row, and tabs separate the columns.
-pub fn write_rows<'a>(out: &mut Vec<u8>, pages: impl Iterator<Item = &'a [u8]>) {
-    write_row_description(out);
-    let mut count = 0u64;
-    for row in pages.flat_map(|page| page.split_inclusive(|byte| *byte == b'\n')) {
-        let row = row.strip_suffix(b"\n").unwrap_or(row);
-        write_message(out, b'D', |body| {
-            body.extend_from_slice(&COLUMN_COUNT.to_be_bytes());
-            for column in row.split(|byte| *byte == b'\t') {
-                body.extend_from_slice(&(column.len() as u32).to_be_bytes());
-                body.extend_from_slice(column);
-            }
-        });
-        count += 1;
-    }
+/// Returns the rows of a page without their line feeds.
+pub fn rows(page: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let rows = page.split_inclusive(|byte| *byte == b'\n');
+    rows.map(|row| row.strip_suffix(b"\n").unwrap_or(row))
+}
+
+/// Appends a DataRow. Tabs separate the columns of `row`.
+pub fn write_row(out: &mut Vec<u8>, row: &[u8]) {
+    write_message(out, b'D', |body| {
+        body.extend_from_slice(&COLUMN_COUNT.to_be_bytes());
+        for column in row.split(|byte| *byte == b'\t') {
+            body.extend_from_slice(&(column.len() as u32).to_be_bytes());
+            body.extend_from_slice(column);
+        }
+    });
+}
+
+/// Appends the CommandComplete that follows `row_count` rows.
+pub fn write_command_complete(out: &mut Vec<u8>, row_count: u64) {
     write_message(out, b'C', |body| {
-        write_text(body, &format!("SELECT {count}"));
+        write_text(body, &format!("SELECT {row_count}"));
     });
 }
 
@@ -318,7 +329,8 @@
 const VARIABLE_SIZE: i16 = -1;
 const NO_TYPE_MODIFIER: i32 = -1;
 
-fn write_row_description(out: &mut Vec<u8>) {
+/// Appends the RowDescription of three text columns, which precedes the rows of a result.
+pub fn write_row_description(out: &mut Vec<u8>) {
     write_message(out, b'T', |body| {
         body.extend_from_slice(&COLUMN_COUNT.to_be_bytes());
         for name in COLUMN_NAMES {
--- a/gateway/src/postgres/session/answers.rs
+++ b/gateway/src/postgres/session/answers.rs
@@ -1,11 +1,16 @@
 //! Writes the answers to requests as messages of the PostgreSQL protocol.
 
+use std::io::Write;
+
 use super::super::codec::{self, ErrorResponse};
+use super::super::session_end::SessionEnd;
 use super::Session;
-use crate::exchange::Answer;
+use crate::exchange::{Answer, QueryResult};
 use crate::stats::RequestEnding;
 
 const MICROS_PER_MS: u64 = 1_000;
+/// How many bytes of a result are encoded before they are written.
+const RESULT_CHUNK_BYTES: usize = 16 * 1024;
 
 impl Session<'_> {
     pub(super) fn write_error(&mut self, code: &str, message: &str) {
@@ -38,14 +43,50 @@
         RequestEnding::Failed
     }
 
+    /// Writes the error of a request that does not fit into the memory budget. It counts as rejected.
+    pub(super) fn write_out_of_memory(&mut self) {
+        let hint = Some("Try again, or send a shorter statement.");
+        self.write_error_with_hint("53200", "out of memory for this query", hint);
+    }
+
+    /// Sends the error of a connection whose memory was reclaimed, if the socket accepts it at once.
+    pub(super) fn tell_out_of_memory(&mut self) {
+        let error = ErrorResponse::fatal("53200", "out of memory: send the whole message sooner");
+        codec::write_error(&mut self.output, &error);
+        let _ = self.stream.get_ref().write(&self.output);
+        self.output.clear();
+    }
+
+    /// Writes the rows of a result. All but the last part of them are sent.
+    async fn write_result(&mut self, result: &QueryResult) -> Result<(), SessionEnd> {
+        codec::write_row_description(&mut self.output);
+        let mut row_count = 0;
+        for row in result.pages.iter().flat_map(|page| codec::rows(page)) {
+            codec::write_row(&mut self.output, row);
+            row_count += 1;
+            if self.output.len() >= RESULT_CHUNK_BYTES {
+                self.write().await?;
+            }
+        }
+        codec::write_command_complete(&mut self.output, row_count);
+        Ok(())
+    }
+
     /// Writes the answer to a request, and returns how the request ended for the statistics.
-    pub(super) fn write_answer(&mut self, answer: Answer) -> RequestEnding {
+    pub(super) async fn write_answer(
+        &mut self,
+        answer: Answer,
+    ) -> Result<RequestEnding, SessionEnd> {
+        if let Answer::Served(result) = &answer {
+            self.write_result(result).await?;
+        }
+        Ok(self.write_ending(&answer))
+    }
+
+    /// Writes an answer without rows, and returns how its request ended.
+    fn write_ending(&mut self, answer: &Answer) -> RequestEnding {
         match answer {
-            Answer::Served(result) => {
-                let pages = result.pages.iter().map(AsRef::as_ref);
-                codec::write_rows(&mut self.output, pages);
-                RequestEnding::Served
-            }
+            Answer::Served(_) => RequestEnding::Served,
             Answer::Rejected { retry_after } => {
                 self.write_rejected(retry_after.div_ceil(MICROS_PER_MS));
                 RequestEnding::Rejected
--- a/gateway/src/postgres/session/mod.rs
+++ b/gateway/src/postgres/session/mod.rs
@@ -20,10 +20,10 @@
 pub(super) use socket::READ_AHEAD_BYTES;
 
 use super::cancellation::CancelTarget;
-use super::codec::{self, Malformed};
+use super::codec::{self, Malformed, MessageHead};
 use super::session_end::SessionEnd;
 use super::sessions::Sessions;
-use crate::connection_limit::{ConnectionSlot, ConnectionState};
+use crate::connection_limit::{ConnectionSlot, ConnectionState, MEMORY_LIMIT};
 
 /// Maximum time from the accept of a connection to a complete start-up packet, and from the first
 /// byte of a message to its last, even if single bytes keep arriving. A client that sends an
@@ -47,7 +47,6 @@
     sessions: &'a Rc<Sessions>,
     slot: &'a Rc<ConnectionSlot>,
     stream: Rc<Async<TcpStream>>,
-    input: Vec<u8>,
     /// Whether the end of the client's stream was read. The client may still wait for answers.
     input_ended: bool,
     /// When input was last read, in microseconds since the Unix epoch. This is the time at which
@@ -97,7 +96,6 @@
             sessions,
             slot,
             stream,
-            input: Vec::new(),
             input_ended: false,
             read_at: 0,
             output: Vec::new(),
@@ -115,10 +113,14 @@
 
     /// Serves the session until it ends, and returns the reason.
     pub(super) async fn run(&mut self) -> SessionEnd {
-        match self.serve().await {
+        let end = match self.serve().await {
             Ok(never) => match never {},
             Err(end) => end,
+        };
+        if end == SessionEnd::Requested(MEMORY_LIMIT) && self.output.is_empty() {
+            self.tell_out_of_memory();
         }
+        end
     }
 
     async fn serve(&mut self) -> Result<Infallible, SessionEnd> {
@@ -130,7 +132,8 @@
             .or(end_after(STARTUP_TIMEOUT, SessionEnd::StartupTimeout))
             .await?;
         loop {
-            let message = match codec::parse_message(&self.input) {
+            let message = self.slot.input.with(codec::message_head);
+            let MessageHead { kind, size } = match message {
                 Ok(Some(message)) => message,
                 Ok(None) => {
                     self.read_more(&slot).await?;
@@ -139,22 +142,17 @@
                 Err(error) => return Err(self.fail_with_protocol_error(error).await),
             };
             self.message_due = None;
-            let (kind, size) = (message.kind, message.size);
             if kind != codec::QUERY {
                 self.handle_message(kind, size).await?;
             } else {
-                let sql = codec::query_text(message.body).map(<[u8]>::to_vec);
-                match sql {
-                    Ok(sql) => self.handle_query(&sql, size).await?,
-                    Err(error) => return Err(self.fail_with_protocol_error(error).await),
-                }
+                self.handle_query(size).await?;
             }
         }
     }
 
     /// Reads once more, as the next message is not complete yet.
     async fn read_more(&mut self, slot: &ConnectionSlot) -> Result<(), SessionEnd> {
-        let (state, deadline, end) = if self.input.is_empty() {
+        let (state, deadline, end) = if self.slot.input.is_empty() {
             let deadline = Instant::now() + IDLE_TIMEOUT;
             (ConnectionState::Idle, deadline, SessionEnd::Idle)
         } else {
@@ -172,19 +170,22 @@
     }
 
     /// Handles a Query message of `size` bytes.
-    async fn handle_query(&mut self, sql: &[u8], size: usize) -> Result<(), SessionEnd> {
-        self.input.drain(..size);
+    async fn handle_query(&mut self, size: usize) -> Result<(), SessionEnd> {
+        let query = match self.take_query(size) {
+            Ok(query) => query,
+            Err(error) => return Err(self.fail_with_protocol_error(error).await),
+        };
         if self.mode == Mode::SkipToSync {
             self.take_cancelled();
             return Ok(());
         }
-        self.query(sql).await?;
+        self.query(query).await?;
         let now = self.sessions.sink.now();
         if let Some(reason) = self.sessions.drain.close_reason(now) {
             // The connection is closed only if no further input has arrived. Otherwise the queries
             // in the input are served first.
             self.read_ahead()?;
-            if self.input.is_empty() {
+            if self.slot.input.is_empty() {
                 return Err(SessionEnd::Requested(reason));
             }
         }
@@ -216,7 +217,7 @@
             // data that was not requested is skipped too, as in PostgreSQL.
             _ => {}
         }
-        self.input.drain(..size);
+        self.slot.input.discard_front(size);
         // A cancel request that arrived while this message was read was meant for it.
         self.take_cancelled();
         self.write().await?;
--- a/gateway/src/postgres/session/query.rs
+++ b/gateway/src/postgres/session/query.rs
@@ -1,26 +1,35 @@
 //! Serves a simple query, from its text to its ReadyForQuery.
 
 use std::cell::Cell;
-use std::io::{self, Read};
 use std::rc::Rc;
 
 use futures_lite::FutureExt;
 
-use super::super::codec;
+use super::super::codec::{self, Malformed};
 use super::super::query_fields::{self, QueryError};
 use super::super::session_end::SessionEnd;
-use super::socket::READ_CHUNK_BYTES;
 use super::Session;
 use crate::connection_limit::ConnectionState;
 use crate::exchange::{Answer, Exchange, Request};
 use crate::net;
+use crate::request_memory::RequestMemory;
 use crate::stats::RequestEnding;
 
+/// What a Query message holds.
+pub(super) enum Query {
+    /// Nothing that could be carried out.
+    Empty,
+    /// A query that can't be used.
+    Invalid(QueryError),
+    /// A request.
+    Request(Request),
+}
+
 /// An event that interrupts or ends the wait for an answer.
 enum WaitEvent {
     Answer(Answer),
     Cancelled,
-    Read(io::Result<usize>),
+    Readable,
     ClientGone,
 }
 
@@ -42,23 +51,36 @@
 }
 
 impl Session<'_> {
+    /// Removes a Query message of `size` bytes from the input, and parses it.
+    pub(super) fn take_query(&mut self, size: usize) -> Result<Query, Malformed> {
+        let message = self.slot.input.take_front(size);
+        let sql = codec::query_text(codec::message_body(&message))?;
+        if query_fields::is_empty(sql) {
+            return Ok(Query::Empty);
+        }
+        Ok(
+            match query_fields::parse(sql, &self.sessions.names, self.read_at) {
+                Ok(request) => Query::Request(request),
+                Err(error) => Query::Invalid(error),
+            },
+        )
+    }
+
     /// Carries out one simple query, up to its ReadyForQuery.
-    pub(super) async fn query(&mut self, sql: &[u8]) -> Result<(), SessionEnd> {
+    pub(super) async fn query(&mut self, query: Query) -> Result<(), SessionEnd> {
         let sessions = Rc::clone(self.sessions);
         let _busy = BusyGuard::new(&sessions.busy);
         self.slot.set_state(ConnectionState::Busy, self.read_at);
         self.requests += 1;
         let mut counted = None;
-        if query_fields::is_empty(sql) {
-            self.answer_empty_query();
-        } else {
-            match query_fields::parse(sql, &sessions.names, self.read_at) {
-                Err(error) => self.write_error("22023", &error.to_string()),
-                Ok(request) => {
-                    let in_progress = sessions.stats.start_request(request.query.class);
-                    let ending = self.serve_request(request).await?;
-                    counted = Some((in_progress, ending));
-                }
+        match query {
+            Query::Empty => self.answer_empty_query(),
+            Query::Invalid(error) => self.write_error("22023", &error.to_string()),
+            Query::Request(request) => {
+                self.slot.record_request();
+                let in_progress = sessions.stats.start_request(request.query.class);
+                let ending = self.serve_request(request).await?;
+                counted = Some((in_progress, ending));
             }
         }
         codec::write_ready(&mut self.output);
@@ -70,7 +92,7 @@
         // A cancel request that has arrived by now was meant for this query, so it is dropped. A
         // later one may be meant for the next query.
         self.take_cancelled();
-        if self.input.is_empty() {
+        if self.slot.input.is_empty() {
             let now = self.sessions.sink.now();
             self.slot.set_state(ConnectionState::Idle, now);
         }
@@ -86,12 +108,19 @@
     }
 
     /// Serves one request, writes its answer to the output, and returns how the request ended.
-    async fn serve_request(&mut self, request: Request) -> Result<RequestEnding, SessionEnd> {
+    async fn serve_request(&mut self, mut request: Request) -> Result<RequestEnding, SessionEnd> {
         let sessions = Rc::clone(self.sessions);
         if sessions.drain.rejects_requests(self.read_at) {
             self.write_unavailable();
             return Ok(RequestEnding::Rejected);
         }
+        match RequestMemory::charge(&sessions.memory, request.statement.len()) {
+            Ok(memory) => request.memory = memory,
+            Err(_) => {
+                self.write_out_of_memory();
+                return Ok(RequestEnding::Rejected);
+            }
+        }
         // The client may have disconnected or cancelled the request before it was read. The request
         // is then not submitted.
         self.read_ahead()?;
@@ -107,7 +136,7 @@
             return Ok(RequestEnding::Failed);
         }
         match self.wait_for_answer(&exchange).await? {
-            Some(answer) => Ok(self.write_answer(answer)),
+            Some(answer) => self.write_answer(answer).await,
             None => Ok(self.write_cancelled()),
         }
     }
@@ -116,11 +145,10 @@
     /// query.
     async fn wait_for_answer(&mut self, exchange: &Exchange) -> Result<Option<Answer>, SessionEnd> {
         loop {
-            let mut chunk = [0u8; READ_CHUNK_BYTES];
             let answer = async { WaitEvent::Answer(exchange.answer().await) };
             let event = answer
                 .or(self.wait_for_cancel())
-                .or(self.wait_for_input(&mut chunk))
+                .or(self.wait_for_input())
                 .await;
             match event {
                 WaitEvent::Answer(answer) => return Ok(Some(answer)),
@@ -128,13 +156,11 @@
                     self.sessions.sink.withdraw(exchange.id());
                     return Ok(None);
                 }
-                WaitEvent::Read(Ok(size)) if size > 0 => {
-                    self.take_input(chunk.get(..size).unwrap_or_default());
-                }
-                WaitEvent::Read(Ok(_)) => self.input_ended = true,
-                WaitEvent::Read(Err(_)) => {
-                    self.sessions.sink.withdraw(exchange.id());
-                    return Err(SessionEnd::Reset);
+                WaitEvent::Readable => {
+                    if let Err(end) = self.read_ahead() {
+                        self.sessions.sink.withdraw(exchange.id());
+                        return Err(end);
+                    }
                 }
                 WaitEvent::ClientGone => {
                     self.sessions.sink.withdraw(exchange.id());
@@ -152,13 +178,14 @@
         WaitEvent::Cancelled
     }
 
-    /// Reads from the client, because the end of the stream is noticed only after everything before
-    /// it is read. At that end, or if the read-ahead limit is reached, waits until the client has
+    /// Waits for input of the client, because the end of the stream is noticed only after everything
+    /// before it is read. At that end, or if no more may be read ahead, waits until the client has
     /// gone.
-    async fn wait_for_input(&self, chunk: &mut [u8]) -> WaitEvent {
+    async fn wait_for_input(&self) -> WaitEvent {
         if self.may_read_ahead() {
-            let read = self.stream.read_with(|mut socket| socket.read(chunk));
-            return WaitEvent::Read(read.await);
+            // An error of the connection shows when it is read.
+            let _ = self.stream.readable().await;
+            return WaitEvent::Readable;
         }
         net::wait_until_gone(&self.stream, Some(codec::PARAMETER_STATUS)).await;
         WaitEvent::ClientGone
--- a/gateway/src/postgres/session/startup.rs
+++ b/gateway/src/postgres/session/startup.rs
@@ -9,10 +9,10 @@
     /// out and ends the connection.
     pub(super) async fn start(&mut self) -> Result<(), SessionEnd> {
         loop {
-            match codec::parse_startup(&self.input) {
+            match self.slot.input.with(codec::parse_startup) {
                 Ok(None) => self.read().await?,
                 Ok(Some((Startup::Encryption, size))) => {
-                    self.input.drain(..size);
+                    self.slot.input.discard_front(size);
                     self.output.push(codec::NO_ENCRYPTION);
                     self.write().await?;
                 }
@@ -32,7 +32,7 @@
                     let target = targets.add(self.slot, &self.stream);
                     codec::write_startup_response(&mut self.output, minor, &options, target.key());
                     self.cancel_target = Some(target);
-                    self.input.drain(..size);
+                    self.slot.input.discard_front(size);
                     return self.write().await;
                 }
                 Err(error) => return Err(self.fail_with_protocol_error(error).await),
--- a/gateway/src/postgres/sessions.rs
+++ b/gateway/src/postgres/sessions.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{future, FutureExt};
 use rand_chacha::ChaCha8Rng;
+use violetgate_memory_budget::MemoryBudget;
 
 use super::cancellation::{CancelKey, CancelTargets};
 use super::codec::{self, Startup};
@@ -31,6 +32,22 @@
 const REJECTED_STARTUP_TIMEOUT: Duration = Duration::from_millis(250);
 const STARTUP_CHUNK_BYTES: usize = 512;
 
+/// The parts of the gateway that the front end uses.
+pub struct SessionParts {
+    /// The executor of the sessions' tasks.
+    pub executor: Rc<LocalExecutor<'static>>,
+    /// The receiver of requests.
+    pub sink: Rc<dyn RequestSink>,
+    /// The names of the classes and tenants that requests may state.
+    pub names: NameTable,
+    /// The request metrics.
+    pub stats: Rc<Stats>,
+    /// The drain state of this process.
+    pub drain: Rc<DrainState>,
+    /// The limit of the memory that clients can make this process hold.
+    pub memory: MemoryBudget,
+}
+
 /// All client connections of the PostgreSQL front end, and the state that they share.
 pub struct Sessions {
     executor: Rc<LocalExecutor<'static>>,
@@ -38,6 +55,7 @@
     pub(super) names: NameTable,
     pub(super) stats: Rc<Stats>,
     limiter: ConnectionLimiter,
+    pub(super) memory: MemoryBudget,
     pub(super) cancel_targets: CancelTargets,
     pub(super) busy: Cell<usize>,
     pub(super) drain: Rc<DrainState>,
@@ -47,24 +65,17 @@
     /// Creates the front end for at most `max_connections` connections. Cancel keys are drawn from
     /// `rng`.
     #[must_use]
-    pub fn new(
-        executor: Rc<LocalExecutor<'static>>,
-        sink: Rc<dyn RequestSink>,
-        names: NameTable,
-        stats: Rc<Stats>,
-        drain: Rc<DrainState>,
-        max_connections: usize,
-        rng: ChaCha8Rng,
-    ) -> Rc<Self> {
+    pub fn new(parts: SessionParts, max_connections: usize, rng: ChaCha8Rng) -> Rc<Self> {
         Rc::new(Sessions {
-            executor,
-            sink,
-            names,
-            stats,
-            limiter: ConnectionLimiter::new(max_connections),
+            executor: parts.executor,
+            sink: parts.sink,
+            names: parts.names,
+            stats: parts.stats,
+            limiter: ConnectionLimiter::new(max_connections, parts.memory.clone()),
+            memory: parts.memory,
             cancel_targets: CancelTargets::new(rng),
             busy: Cell::new(0),
-            drain,
+            drain: parts.drain,
         })
     }
 
@@ -225,7 +236,7 @@
 /// Reads start-up packets, and declines encryption. Returns the key if the client sends a
 /// CancelRequest, and `None` if it sends anything else or closes the connection.
 async fn read_cancel_request(stream: &Async<TcpStream>) -> Option<CancelKey> {
-    let mut input = Vec::new();
+    let mut input: Vec<u8> = Vec::new();
     loop {
         match codec::parse_startup(&input) {
             Ok(Some((Startup::Cancel(key), _))) => return Some(key),
--- a/gateway/src/postgres/tests/mod.rs
+++ b/gateway/src/postgres/tests/mod.rs
@@ -10,6 +10,7 @@
 
 mod closes;
 mod disconnects;
+mod memory;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -22,11 +23,12 @@
 use futures_lite::future;
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_policy::interface::{Micros, QueryId};
 
 use super::cancellation::CancelKey;
 use super::session::READ_AHEAD_BYTES;
-use super::sessions::Sessions;
+use super::sessions::{SessionParts, Sessions};
 use crate::config::{ClassName, NameTable};
 use crate::drain::DrainState;
 use crate::exchange::{Answer, Exchange, RequestIdInUse, RequestSink};
@@ -36,6 +38,8 @@
 /// Maximum time to wait for a condition: long enough for a slow machine, and reached only if the
 /// test fails.
 const WAIT: Duration = Duration::from_secs(30);
+/// The memory budget of a server: more than any of these tests needs.
+const MEMORY_BYTES: usize = 16 * 1024 * 1024;
 
 /// A sink that records submitted and withdrawn queries, and answers only when the test says so.
 #[derive(Default)]
@@ -72,11 +76,16 @@
     executor: Rc<LocalExecutor<'static>>,
     sink: Rc<RecordingSink>,
     sessions: Rc<Sessions>,
+    memory: MemoryBudget,
     addr: SocketAddr,
 }
 
 impl TestServer {
     fn new(max_connections: usize) -> Self {
+        Self::with_memory(max_connections, MemoryBudget::new(MEMORY_BYTES))
+    }
+
+    fn with_memory(max_connections: usize, memory: MemoryBudget) -> Self {
         let executor = Rc::new(LocalExecutor::new());
         let sink = Rc::new(RecordingSink::default());
         let names = NameTable {
@@ -86,15 +95,15 @@
             }],
             ..NameTable::default()
         };
-        let sessions = Sessions::new(
-            Rc::clone(&executor),
-            Rc::<RecordingSink>::clone(&sink),
+        let parts = SessionParts {
+            executor: Rc::clone(&executor),
+            sink: Rc::<RecordingSink>::clone(&sink),
             names,
-            Rc::new(Stats::new(["lookup"].into_iter())),
-            Rc::new(DrainState::default()),
-            max_connections,
-            ChaCha8Rng::seed_from_u64(7),
-        );
+            stats: Rc::new(Stats::new(["lookup"].into_iter())),
+            drain: Rc::new(DrainState::default()),
+            memory: memory.clone(),
+        };
+        let sessions = Sessions::new(parts, max_connections, ChaCha8Rng::seed_from_u64(7));
         let listener = Rc::new(net::listen(([127, 0, 0, 1], 0).into()).unwrap());
         let addr = listener.get_ref().local_addr().unwrap();
         executor
@@ -104,6 +113,7 @@
             executor,
             sink,
             sessions,
+            memory,
             addr,
         }
     }
--- a/gateway/src/request_validation.rs
+++ b/gateway/src/request_validation.rs
@@ -10,6 +10,7 @@
 use crate::config::NameTable;
 use crate::exchange::Request;
 use crate::hex;
+use crate::request_memory::RequestMemory;
 use crate::table_group;
 
 /// The largest accepted value of a timeout or an estimate, in milliseconds (one day) or megabytes.
@@ -167,6 +168,7 @@
             class: class_name.into(),
             idempotency_key: idempotency_key.map(Into::into),
             statement: self.statement.into(),
+            memory: RequestMemory::default(),
         })
     }
 
--- a/gateway/src/rest/mod.rs
+++ b/gateway/src/rest/mod.rs
@@ -30,6 +30,7 @@
 use hyper::body::Bytes;
 use hyper::{Response, StatusCode};
 use rand_chacha::ChaCha8Rng;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_result_store::{ResultCache, ResultLimits};
 
 use crate::clock::Clock;
@@ -70,6 +71,8 @@
     pub results: Rc<RefCell<ResultCache<QueryResult>>>,
     /// The layer that stores idempotency keys and recognises repeated queries.
     pub idempotency: Rc<IdempotencyLayer>,
+    /// The limit of the memory that clients can make this process hold.
+    pub memory: MemoryBudget,
 }
 
 /// The server of the REST protocol.
@@ -103,12 +106,12 @@
         rng: ChaCha8Rng,
     ) -> Rc<Self> {
         Rc::new(RestFrontend {
-            parts,
-            limiter: ConnectionLimiter::new(max_connections),
+            limiter: ConnectionLimiter::new(max_connections, parts.memory.clone()),
             limits: RefCell::new(settings.clone()),
             rng: RefCell::new(rng),
             busy: Cell::new(0),
             counters: Counters::default(),
+            parts,
         })
     }
 
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -8,11 +8,12 @@
 use async_executor::LocalExecutor;
 use rand_chacha::rand_core::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_policy::interface::{Class, ListScope};
 use violetgate_result_store::{ResultCache, TokenSealer};
 
-use super::connection_budget::ConnectionBudget;
 use super::error::StartError;
+use super::process_budget::ProcessBudget;
 use crate::clock::Clock;
 use crate::config::{Config, InitialEvents, NameTable};
 use crate::discovery::{DiscoveryClient, DiscoverySource, EngineIds, ListRetention};
@@ -22,7 +23,7 @@
 use crate::fence::Fence;
 use crate::fleet::FleetMembership;
 use crate::idempotency::IdempotencyLayer;
-use crate::postgres::sessions::Sessions;
+use crate::postgres::sessions::{SessionParts, Sessions};
 use crate::replication::{ControlTargets, Participant};
 use crate::rest::{result_limits, RestFrontend, RestParts};
 use crate::settings::{self, Settings};
@@ -40,7 +41,8 @@
     pub clock: Clock,
     pub name: String,
     pub listen: SocketAddr,
-    pub max_sockets: usize,
+    /// The limit of the memory that peers can make this process hold.
+    pub memory: MemoryBudget,
     /// The longest deadline of all classes of requests.
     pub longest_deadline: Duration,
     pub stats: Rc<Stats>,
@@ -62,9 +64,10 @@
         clock: Clock,
         config: Config,
         settings: &Settings,
-        budget: ConnectionBudget,
+        budget: ProcessBudget,
     ) -> Result<Self, StartError> {
         let executor = Rc::new(LocalExecutor::new());
+        let memory = MemoryBudget::new(budget.memory_bytes);
         let process_seed = process_seed(config.seed)?;
         let DispatchParts {
             stats,
@@ -91,6 +94,7 @@
             seed: config.seed,
             process_seed,
             budget,
+            memory: &memory,
         };
         let classes = &config.settings.classes;
         let (sessions, rest) = front_ends.create(&dispatch, settings.rest.as_ref(), classes)?;
@@ -99,7 +103,7 @@
             longest_deadline: longest_deadline(classes),
             name: config.name,
             listen: config.listen,
-            max_sockets: config.max_sockets,
+            memory,
             stats,
             dispatch,
             pool,
@@ -142,7 +146,7 @@
         clock: Clock,
         config: &Config,
         settings: &Settings,
-        budget: ConnectionBudget,
+        budget: ProcessBudget,
         process_seed: u64,
     ) -> Result<Self, StartError> {
         let class_names = config.names.classes.iter();
@@ -259,7 +263,8 @@
     seed: u64,
     /// See [`process_seed`].
     process_seed: u64,
-    budget: ConnectionBudget,
+    budget: ProcessBudget,
+    memory: &'a MemoryBudget,
 }
 
 impl FrontEnds<'_> {
@@ -297,6 +302,7 @@
             drain: Rc::clone(self.drain),
             results: Rc::new(RefCell::new(results)),
             idempotency,
+            memory: self.memory.clone(),
         };
         let rng = new_rng(self.process_seed, REST_ID_STREAM);
         let rest = RestFrontend::new(parts, rest_settings, self.budget.rest, rng);
@@ -304,15 +310,16 @@
     }
 
     fn create_sessions(&self, sink: Rc<dyn RequestSink>) -> Rc<Sessions> {
-        Sessions::new(
-            Rc::clone(self.executor),
+        let parts = SessionParts {
+            executor: Rc::clone(self.executor),
             sink,
-            self.names.clone(),
-            Rc::clone(self.stats),
-            Rc::clone(self.drain),
-            self.budget.postgres,
-            new_rng(self.seed, CANCEL_KEY_STREAM),
-        )
+            names: self.names.clone(),
+            stats: Rc::clone(self.stats),
+            drain: Rc::clone(self.drain),
+            memory: self.memory.clone(),
+        };
+        let rng = new_rng(self.seed, CANCEL_KEY_STREAM);
+        Sessions::new(parts, self.budget.postgres, rng)
     }
 }
 
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -3,9 +3,9 @@
 //! Nothing here decides about a request: `violetgate-policy` chooses engines, retries and rejects.
 
 mod assembly;
-mod connection_budget;
 mod error;
 mod listeners;
+mod process_budget;
 mod reload;
 mod shared_files;
 mod shutdown;
@@ -26,8 +26,8 @@
 use crate::settings::Settings;
 use crate::sibling_process::ProcessMark;
 use assembly::GatewayParts;
-use connection_budget::{BudgetKeeper, ConnectionBudget, ProcessRole};
 use listeners::Listeners;
+use process_budget::{BudgetKeeper, PlatformLimits, ProcessBudget, ProcessRole};
 use reload::Reloader;
 use shutdown::{Accepting, Shutdown};
 
@@ -47,15 +47,24 @@
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]);
     let signals = signals.map_err(StartError::Signals)?;
     let role = ProcessRole::at_start(&mark);
-    let budget = ConnectionBudget::for_role(config.max_sockets, role, settings.rest.as_ref());
+    let limits = PlatformLimits {
+        sockets: config.max_sockets,
+        memory_bytes: config.max_memory_bytes,
+    };
+    let budget = ProcessBudget::for_role(limits, role, settings.rest.as_ref());
     let gateway = GatewayParts::assemble(clock, config, settings, budget)?;
-    start_budget_keeper(&gateway, &mark, role, settings);
+    start_budget_keeper(&gateway, &mark, role, limits, settings);
     start_front_end_tasks(&gateway);
     start_cluster(&gateway, listeners.cluster_api);
     let operations = start_operations(&gateway);
     let accepting = Accepting::start(&gateway, listeners.postgres, listeners.rest);
     if let Some(listener) = listeners.management {
-        let admin = Admin::new(Rc::clone(&gateway.executor), clock, operations);
+        let admin = Admin::new(
+            Rc::clone(&gateway.executor),
+            clock,
+            operations,
+            gateway.memory.clone(),
+        );
         gateway.executor.spawn(admin.listen(listener)).detach();
     }
     log_start(&gateway, settings);
@@ -117,15 +126,17 @@
     gateway: &GatewayParts,
     mark: &Rc<ProcessMark>,
     role: ProcessRole,
+    limits: PlatformLimits,
     settings: &Settings,
 ) {
     let keeper = BudgetKeeper {
         mark: Rc::clone(mark),
         role,
-        max_sockets: gateway.max_sockets,
+        limits,
         sessions: Rc::clone(&gateway.sessions),
         rest: gateway.rest.clone().zip(settings.rest.clone()),
         pool: Rc::clone(&gateway.pool),
+        memory: gateway.memory.clone(),
     };
     gateway.executor.spawn(keeper.run()).detach();
 }
--- a/gateway/src/serve/connection_budget.rs
+++ b/gateway/src/serve/process_budget.rs
@@ -1,10 +1,12 @@
-//! Limits the connections of clients and engines, so that this process does not exceed its limit on
-//! file descriptors, or its share of that limit while another process of this gateway runs.
+//! Limits the connections of clients and engines and the memory that peers can make this process
+//! hold, so that it does not exceed its limits on file descriptors and memory, or its share of them
+//! while another process of this gateway runs.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Timer;
+use violetgate_memory_budget::MemoryBudget;
 
 use crate::log;
 use crate::postgres::sessions::Sessions;
@@ -47,42 +49,60 @@
     }
 }
 
-/// The maximum numbers of connections of this process.
+/// The limits that the platform sets for all processes of this gateway together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) struct ConnectionBudget {
+pub(super) struct PlatformLimits {
+    /// The maximum number of file descriptors.
+    pub sockets: usize,
+    /// The maximum resident memory in bytes.
+    pub memory_bytes: u64,
+}
+
+/// The maximum numbers of connections of this process, and the memory that peers can make it hold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct ProcessBudget {
     /// Connections of PostgreSQL clients.
     pub postgres: usize,
     /// Connections of REST clients.
     pub rest: usize,
     /// Connections to engines.
     pub engines: usize,
+    /// Memory that peers can make this process hold, in bytes.
+    pub memory_bytes: usize,
 }
 
-impl ConnectionBudget {
-    /// Returns the budget of a process that may hold `max_sockets` descriptors.
+impl ProcessBudget {
+    /// Returns the budget of a process within these limits.
     ///
     /// A process that runs alone gives a quarter to engines and a half to clients. The rest is for
     /// the program itself, for management and for connections that linger while they close.
     ///
-    /// Two processes stay within `max_sockets` together: clients get 3/8 + 3/16 = 9/16 of it, and
+    /// Two processes stay within the limit of descriptors together: clients get 3/8 + 3/16 = 9/16 of it, and
     /// engines 1/6 + 1/10 = 4/15. The successor gets the larger part, because clients usually hold
-    /// at most a third of `max_sockets` and soon all of them are connected to the successor. A
+    /// at most a third of the descriptors and soon all of them are connected to the successor. A
     /// lower limit would make it reject or evict clients that have just connected.
+    ///
+    /// Of the memory, three eighths are for what peers can make a process hold that runs alone, and
+    /// 3/16 + 1/8 = 5/16 for that of two processes. The rest is for the programs themselves, which
+    /// need it twice during an upgrade, and for what the allocator can't use.
     pub(super) fn for_role(
-        max_sockets: usize,
+        limits: PlatformLimits,
         role: ProcessRole,
         rest: Option<&settings::Rest>,
     ) -> Self {
-        let (clients, engines) = match role {
-            ProcessRole::Alone => (max_sockets / 2, max_sockets / 4),
-            ProcessRole::Successor => (max_sockets * 3 / 8, max_sockets / 6),
-            ProcessRole::Predecessor => (max_sockets * 3 / 16, max_sockets / 10),
+        let sockets = limits.sockets;
+        let memory = usize::try_from(limits.memory_bytes).unwrap_or(usize::MAX);
+        let (clients, engines, memory_bytes) = match role {
+            ProcessRole::Alone => (sockets / 2, sockets / 4, memory / 8 * 3),
+            ProcessRole::Successor => (sockets * 3 / 8, sockets / 6, memory / 16 * 3),
+            ProcessRole::Predecessor => (sockets * 3 / 16, sockets / 10, memory / 8),
         };
         let rest = rest.map_or(0, |rest| rest.max_connections.min(clients / 2));
-        ConnectionBudget {
+        ProcessBudget {
             postgres: clients - rest,
             rest,
             engines,
+            memory_bytes,
         }
     }
 }
@@ -91,11 +111,12 @@
 pub(super) struct BudgetKeeper {
     pub mark: Rc<ProcessMark>,
     pub role: ProcessRole,
-    pub max_sockets: usize,
+    pub limits: PlatformLimits,
     pub sessions: Rc<Sessions>,
     /// The REST front end, and the settings with which it was started.
     pub rest: Option<(Rc<RestFrontend>, settings::Rest)>,
     pub pool: Rc<Pool>,
+    pub memory: MemoryBudget,
 }
 
 impl BudgetKeeper {
@@ -113,21 +134,23 @@
 
     fn apply(&self) {
         let rest_settings = self.rest.as_ref().map(|(_, settings)| settings);
-        let budget = ConnectionBudget::for_role(self.max_sockets, self.role, rest_settings);
+        let budget = ProcessBudget::for_role(self.limits, self.role, rest_settings);
         log::write_line(format_args!(
-            "violetgate is {}: at most {} clients and {} engine connections",
+            "violetgate is {}: at most {} clients, {} engine connections and {} bytes for their data",
             if self.role == ProcessRole::Alone {
                 "alone"
             } else {
                 "joined by another process"
             },
             budget.postgres + budget.rest,
-            budget.engines
+            budget.engines,
+            budget.memory_bytes
         ));
         self.sessions.resize(budget.postgres);
         if let Some((rest, _)) = &self.rest {
             rest.resize(budget.rest);
         }
         self.pool.resize(budget.engines);
+        self.memory.resize(budget.memory_bytes);
     }
 }
--- a/gateway/src/upstream/connection/tests.rs
+++ b/gateway/src/upstream/connection/tests.rs
@@ -13,6 +13,7 @@
 use super::partial_result::is_rows;
 use super::*;
 use crate::exchange::{Exchange, Request};
+use crate::request_memory::RequestMemory;
 
 fn attempt(id: QueryId) -> Attempt {
     let query = NewQuery {
@@ -27,6 +28,7 @@
         class: "lookup".into(),
         idempotency_key: None,
         statement: b"SELECT 1".as_slice().into(),
+        memory: RequestMemory::default(),
     };
     Attempt {
         exchange: Exchange::new(request),
--- a/gateway/src/upstream/pool/tests.rs
+++ b/gateway/src/upstream/pool/tests.rs
@@ -14,6 +14,7 @@
 
 use super::*;
 use crate::exchange::{Attempt, Exchange, Request, UpstreamEngines};
+use crate::request_memory::RequestMemory;
 
 #[derive(Default)]
 struct Ends(RefCell<Vec<(QueryId, Outcome)>>);
@@ -79,6 +80,7 @@
         class: "lookup".into(),
         idempotency_key: None,
         statement: b"SELECT 1".as_slice().into(),
+        memory: RequestMemory::default(),
     };
     let exchange = Exchange::new(request);
     pool.send(Attempt {
