Charge results and partial answers of engines to the memory limit

Results whose last page is missing, partial answers and results that a client leaves unread were held without a limit that all connections share: up to 64 KiB an attempt, 48 KiB of input an engine connection, and the whole encoded result a client. Cause: partial results, engine input and encoded answers were bounded one by one only. Change: a result is charged when its first page arrives, with what its further pages and its encoding need, until its client has it. If it does not fit, the connection of the client that has read nothing for longest is closed; until then the answer stays in the kernel. Input of engine connections is charged as it is read. Reads go through one shared buffer. The fake engines can withhold the last page of an answer. Why it works: a result that has begun is charged whole, so results that wait for memory can't keep each other from completing. New tests: a second result waits for the first and completes; an unread answer is dropped when others need its memory; partial answers are charged until they are handled.

--- a/fake-upstreams/src/engine/connection.rs
+++ b/fake-upstreams/src/engine/connection.rs
@@ -147,11 +147,15 @@
             return Ok(ControlFlow::Break(()));
         }
         lock(&self.engine.counts).record_page(request_id, number);
-        let page = {
+        let (page, is_last) = {
             let requests = lock(&self.requests);
             let pages = requests.pages.get(request_id);
-            pages.and_then(|pages| pages.get(number).cloned())
+            let page = pages.and_then(|pages| pages.get(number).cloned());
+            (page, pages.is_some_and(|pages| number + 1 == pages.len()))
         };
+        if is_last && self.engine.has_fault(Fault::WithholdLastPage) {
+            return Ok(ControlFlow::Continue(()));
+        }
         let answer = match page {
             Some(_) if self.engine.has_fault(Fault::CorruptPages) => {
                 format!("{request_id} batch at={number} 9\r\n\u{1}\u{2}x\r\n")
--- a/fake-upstreams/src/engine/mod.rs
+++ b/fake-upstreams/src/engine/mod.rs
@@ -64,6 +64,8 @@
     CorruptPages,
     /// The engine answers requests and resets the connection when a further page is requested.
     ResetOnPage,
+    /// The engine sends all pages of an answer but the last one.
+    WithholdLastPage,
     /// The engine refuses every request, as if it were full.
     Refuse,
     /// The engine answers every request with an error and executes nothing.
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -8,10 +8,12 @@
 use std::cell::RefCell;
 use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::ops::Deref;
 use std::rc::Rc;
 use std::task::{Poll, Waker};
 
 use thiserror::Error;
+use violetgate_memory_budget::Charge;
 use violetgate_policy::interface::{
     Cost, Engine, EngineId, ListScope, Micros, NewQuery, Outcome, Progress, QueryId,
 };
@@ -72,8 +74,31 @@
     }
 }
 
-/// The pages of a complete result, as the engine sent them.
-pub type Pages = Vec<Box<[u8]>>;
+/// The pages of a complete result, as the engine sent them, and their memory.
+#[derive(Debug, Default)]
+pub struct Pages {
+    pages: Vec<Box<[u8]>>,
+    _memory: Option<Charge>,
+}
+
+impl Pages {
+    /// Creates the pages of a result whose memory is charged to `memory`.
+    #[must_use]
+    pub fn new(pages: Vec<Box<[u8]>>, memory: Charge) -> Self {
+        Pages {
+            pages,
+            _memory: Some(memory),
+        }
+    }
+}
+
+impl Deref for Pages {
+    type Target = [Box<[u8]>];
+
+    fn deref(&self) -> &Self::Target {
+        &self.pages
+    }
+}
 
 /// A complete result, and the attempt that produced it.
 #[derive(Debug)]
@@ -245,7 +270,7 @@
             number,
             outcome,
             cost: None,
-            pages: Pages::new(),
+            pages: Pages::default(),
         }
     }
 }
--- a/gateway/src/postgres/tests/memory.rs
+++ b/gateway/src/postgres/tests/memory.rs
@@ -1,12 +1,16 @@
 //! Tests of sessions whose input or requests do not fit into the memory budget.
 
+use rustix::net::sockopt;
 use violetgate_memory_budget::Purpose;
 
 use super::*;
+use crate::exchange::{Pages, QueryResult};
 
 /// Enough for the input of two large statements at a time, and for one such request.
 const SMALL_MEMORY_BYTES: usize = 320 * 1024;
 const LARGE_STATEMENT_BYTES: usize = 60 * 1024;
+/// More results of the largest size than the kernel buffers for a connection.
+const MANY_RESULTS: QueryId = 500;
 
 /// A query with a statement of the given size.
 fn long_query(id: QueryId, bytes: usize) -> Vec<u8> {
@@ -21,6 +25,21 @@
     .concat()
 }
 
+impl RecordingSink {
+    /// Answers a query with a result of nearly the largest size.
+    fn serve(&self, id: QueryId, memory: &MemoryBudget) {
+        let exchange = self.open.borrow_mut().remove(&id).unwrap();
+        let row = format!("a\tb\t{}\n", "x".repeat(1_000));
+        let page: Box<[u8]> = row.repeat(60).into_bytes().into();
+        let charge = memory.charge(Purpose::Result, page.len()).unwrap();
+        exchange.complete(Answer::Served(Rc::new(QueryResult {
+            pages: Pages::new(vec![page], charge),
+            query: id,
+            attempt: 0,
+        })));
+    }
+}
+
 impl TestServer {
     fn with_little_memory() -> Self {
         Self::with_memory(16, MemoryBudget::new(SMALL_MEMORY_BYTES))
@@ -100,6 +119,31 @@
     });
 }
 
+/// A client that reads nothing keeps its results from being released. When other results need the
+/// memory, its connection is closed.
+#[test]
+fn an_unread_answer_is_dropped_when_other_answers_need_its_memory() {
+    let server = TestServer::with_memory(16, MemoryBudget::new(MEMORY_BYTES));
+    let (mut client, _) = server.session();
+    sockopt::set_socket_recv_buffer_size(&client.stream, 2_048).unwrap();
+    let needs_all_memory = || server.memory.charge(Purpose::Result, MEMORY_BYTES).is_err();
+    let is_reclaimed = || server.memory.counts().reclaimed > 0;
+    for id in 1..=MANY_RESULTS {
+        client.send(&query(id));
+        server.run_until("submitted", || server.sink.submitted.borrow().contains(&id));
+        server.sink.serve(id, &server.memory);
+        server.run_until("written or blocked", || {
+            server.sessions.busy_count() == 0 || needs_all_memory() && is_reclaimed()
+        });
+        if is_reclaimed() {
+            break;
+        }
+    }
+    assert!(is_reclaimed(), "the client never blocked the connection");
+    server.run_until("the session ends", || server.sessions.busy_count() == 0);
+    assert_eq!(server.memory.used(), 0);
+}
+
 /// Whatever ends a session, all its memory is returned.
 #[test]
 fn all_memory_is_returned_when_sessions_end() {
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -75,7 +75,15 @@
             pool,
             dispatch,
             fleet,
-        } = DispatchParts::start(&executor, clock, &config, settings, budget, process_seed)?;
+        } = DispatchParts::start(
+            &executor,
+            clock,
+            &config,
+            settings,
+            process_seed,
+            memory.clone(),
+            budget.engines,
+        )?;
         let engine_ids = Rc::new(EngineIds::default());
         let retention = participant.as_ref().map(Participant::list_retention);
         let retention = retention.unwrap_or(ListRetention::Discard);
@@ -146,8 +154,9 @@
         clock: Clock,
         config: &Config,
         settings: &Settings,
-        budget: ProcessBudget,
         process_seed: u64,
+        memory: MemoryBudget,
+        max_engine_connections: usize,
     ) -> Result<Self, StartError> {
         let class_names = config.names.classes.iter();
         let stats = Rc::new(Stats::new(class_names.map(|class| class.name.as_str())));
@@ -158,8 +167,9 @@
             clock,
             config.upstream,
             Rc::clone(&stats),
+            memory,
             fence.clone(),
-            budget.engines,
+            max_engine_connections,
         );
         let dispatch = create_dispatch(clock, config, &pool, fence);
         let fleet_size = config.settings.gateways.unwrap_or(1);
--- a/gateway/src/upstream/connection/mod.rs
+++ b/gateway/src/upstream/connection/mod.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 
 use async_io::Async;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_policy::interface::{EngineId, Micros, Outcome, QueryId};
 
 use super::close_reason::CloseReason;
@@ -55,6 +56,8 @@
 
 /// What an engine reported about an attempt.
 pub(super) enum UpstreamEvent {
+    /// The next answer does not fit into the memory budget now. It was not removed from the input.
+    OutOfMemory,
     /// The attempt has ended.
     Ended(AttemptEnd),
     /// The attempt is still running and made progress.
@@ -93,6 +96,7 @@
     /// Whether the socket accepts no more data at the moment.
     pub is_blocked: Cell<bool>,
     stats: Rc<Stats>,
+    memory: MemoryBudget,
     state: RefCell<State>,
 }
 
@@ -103,6 +107,7 @@
         addr: SocketAddr,
         now: Micros,
         stats: Rc<Stats>,
+        memory: MemoryBudget,
     ) -> Rc<Self> {
         Rc::new(Connection {
             id,
@@ -114,6 +119,7 @@
             has_ended: Cell::new(false),
             is_blocked: Cell::new(false),
             stats,
+            memory,
             state: RefCell::default(),
         })
     }
@@ -162,7 +168,7 @@
             attempt,
             broken_connections,
             has_begun: false,
-            result: PartialResult::default(),
+            result: PartialResult::new(&self.memory),
         };
         state.open.insert(query, active);
         self.attempts.set(self.attempts.get() + 1);
@@ -283,9 +289,13 @@
                 Parsed::Incomplete => return Ok(None),
                 Parsed::Malformed => return Err(CloseReason::ProtocolError),
                 Parsed::Complete(reply, size) => {
+                    let event = self.take_reply(&reply, now)?;
+                    if matches!(event, Some(UpstreamEvent::OutOfMemory)) {
+                        return Ok(event);
+                    }
                     *used += size;
-                    if let Some(event) = self.take_reply(&reply, now)? {
-                        return Ok(Some(event));
+                    if event.is_some() {
+                        return Ok(event);
                     }
                 }
             }
@@ -312,6 +322,7 @@
             ReplyKind::FirstPage | ReplyKind::FurtherPage => match active.result.add_page(reply)? {
                 PageOutcome::Complete => Outcome::Completed,
                 PageOutcome::Duplicate => return Ok(None),
+                PageOutcome::OutOfMemory => return Ok(Some(UpstreamEvent::OutOfMemory)),
                 PageOutcome::Incomplete { pages_to_request } => {
                     for page in pages_to_request {
                         let line = codec::page_line(active.request_id(), page);
@@ -371,7 +382,7 @@
         let pages = if outcome == Outcome::Completed {
             self.result.into_pages()
         } else {
-            Pages::new()
+            Pages::default()
         };
         AttemptEnd { cost, pages, ..end }
     }
--- a/gateway/src/upstream/connection/partial_result.rs
+++ b/gateway/src/upstream/connection/partial_result.rs
@@ -2,6 +2,7 @@
 
 use std::ops::Range;
 
+use violetgate_memory_budget::{Charge, MemoryBudget, Purpose};
 use violetgate_policy::interface::Cost;
 
 use super::super::close_reason::CloseReason;
@@ -14,9 +15,19 @@
 /// A row has three columns, separated by tabs.
 const TABS_PER_ROW: usize = 2;
 
+/// The largest page that engines send. Before the pages of a result after the first have arrived,
+/// they are charged as if each had this size.
+const EXPECTED_PAGE_BYTES: usize = 6_000;
+/// What a client's connection needs to encode a result in parts: this multiple of its size, at most
+/// [`MAX_ENCODING_BYTES`].
+const ENCODING_FACTOR: usize = 8;
+const MAX_ENCODING_BYTES: usize = 32 * 1024;
+
 /// The state of a result after a page was added.
 #[derive(Debug, PartialEq, Eq)]
 pub(super) enum PageOutcome {
+    /// The result does not fit into the memory budget now. The page was not added.
+    OutOfMemory,
     /// The page had arrived before. The first copy is kept. This is not a protocol error, so the
     /// connection stays open.
     Duplicate,
@@ -30,15 +41,26 @@
 }
 
 /// A result of which some pages may be missing.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct PartialResult {
     pages: Vec<Option<Box<[u8]>>>,
     missing: usize,
     bytes: usize,
     cost: Option<Cost>,
+    memory: Charge,
 }
 
 impl PartialResult {
+    pub(super) fn new(memory: &MemoryBudget) -> Self {
+        PartialResult {
+            pages: Vec::new(),
+            missing: 0,
+            bytes: 0,
+            cost: None,
+            memory: memory.empty_charge(Purpose::Result),
+        }
+    }
+
     /// Returns whether the first page has arrived.
     pub(super) fn has_begun(&self) -> bool {
         !self.pages.is_empty()
@@ -60,40 +82,69 @@
         if self.pages.get(number).is_some_and(Option::is_some) {
             return Ok(PageOutcome::Duplicate);
         }
-        if is_first == self.has_begun() {
+        let bytes = self.bytes + reply.body.len();
+        let page_count = if is_first {
+            reply.page_count.unwrap_or(1).max(1)
+        } else {
+            self.pages.len()
+        };
+        let is_valid = is_first != self.has_begun()
+            && number < page_count
+            && page_count <= MAX_PAGES
+            && bytes <= MAX_RESULT_BYTES
+            && is_rows(reply.body);
+        if !is_valid {
             return Err(CloseReason::ProtocolError);
         }
+        if is_first
+            && self
+                .memory
+                .resize(expected_memory(page_count, bytes))
+                .is_err()
+        {
+            return Ok(PageOutcome::OutOfMemory);
+        }
         if is_first {
-            self.begin(reply)?;
+            self.begin(page_count, reply.cost);
+        }
+        self.bytes = bytes;
+        if let Some(page) = self.pages.get_mut(number) {
+            *page = Some(reply.body.into());
+            self.missing -= 1;
         }
-        self.bytes += reply.body.len();
-        let is_valid = self.bytes <= MAX_RESULT_BYTES && is_rows(reply.body);
-        let page = self.pages.get_mut(number).filter(|page| page.is_none());
-        *page
-            .filter(|_| is_valid)
-            .ok_or(CloseReason::ProtocolError)? = Some(reply.body.into());
-        self.missing -= 1;
         if self.missing == 0 {
+            // The result is at most as large as the one that was charged.
+            let _ = self.memory.resize(memory_of(self.bytes));
             return Ok(PageOutcome::Complete);
         }
         let pages_to_request = if is_first { 1..self.pages.len() } else { 0..0 };
         Ok(PageOutcome::Incomplete { pages_to_request })
     }
 
-    fn begin(&mut self, reply: &Reply<'_>) -> Result<(), CloseReason> {
-        let page_count = reply.page_count.unwrap_or(1).max(1);
-        if page_count > MAX_PAGES {
-            return Err(CloseReason::ProtocolError);
-        }
+    fn begin(&mut self, page_count: usize, cost: Option<Cost>) {
         self.pages.resize(page_count, None);
         self.missing = page_count;
-        self.cost = reply.cost;
-        Ok(())
+        self.cost = cost;
     }
 
     pub(super) fn into_pages(self) -> Pages {
-        self.pages.into_iter().flatten().collect()
+        Pages::new(self.pages.into_iter().flatten().collect(), self.memory)
+    }
+}
+
+/// Returns the memory of a result whose first page has arrived, in bytes. It is charged at once, so
+/// that a result that has begun can be completed.
+fn expected_memory(page_count: usize, first_page_bytes: usize) -> usize {
+    if page_count == 1 {
+        return memory_of(first_page_bytes);
     }
+    let page_bytes = first_page_bytes.max(EXPECTED_PAGE_BYTES);
+    memory_of((page_count * page_bytes).min(MAX_RESULT_BYTES))
+}
+
+/// Returns the memory that a result needs until its client has it, in bytes.
+fn memory_of(result_bytes: usize) -> usize {
+    result_bytes + (result_bytes * ENCODING_FACTOR).min(MAX_ENCODING_BYTES)
 }
 
 /// Returns whether a page consists of complete rows: UTF-8 text without NUL, in three tab-separated
--- a/gateway/src/upstream/connection/tests.rs
+++ b/gateway/src/upstream/connection/tests.rs
@@ -48,6 +48,7 @@
         SocketAddr::from(([127, 0, 0, 1], 1)),
         0,
         Rc::new(Stats::new([].into_iter())),
+        MemoryBudget::new(1_000_000),
     )
 }
 
@@ -258,6 +259,7 @@
                 let end = (end.query, end.number, end.outcome);
                 break assert_eq!(end, (1, 2, Outcome::Completed));
             }
+            UpstreamEvent::OutOfMemory => unreachable!("the budget is larger than the answers"),
         }
     }
     let all = [
--- a/gateway/src/upstream/pool/driver.rs
+++ b/gateway/src/upstream/pool/driver.rs
@@ -2,7 +2,7 @@
 //! send buffer is full, and writes when the socket is ready again.
 
 use std::future::pending;
-use std::io::{self, Read};
+use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -12,13 +12,15 @@
 
 use super::super::close_reason::CloseReason;
 use super::super::connection::{Connection, UpstreamEvent};
+use super::answer_input::AnswerInput;
 use super::Pool;
 
 /// The maximum time from the first part of an answer to its end. Engines write an answer without
 /// waiting for anything, but may be paused for half a second. If an answer takes longer, the
 /// connection is closed, because no later answer can be read from it.
 const ANSWER_REST_TIMEOUT: Duration = Duration::from_millis(600);
-const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// How often an answer that does not fit into the memory budget is tried again.
+const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 impl Pool {
     /// Writes as much as the socket accepts. Before that, if the connection is established, cancels
@@ -105,11 +107,11 @@
         connection: &Rc<Connection>,
         stream: &Async<TcpStream>,
     ) -> Result<(), CloseReason> {
-        let mut buffer = Vec::new();
+        let mut input = AnswerInput::new(&self.memory);
         // The time by which the rest of a partly received answer has to arrive.
         let mut rest_due = None;
         while !connection.has_ended.get() {
-            match read(stream, &mut buffer).or(time_out_at(rest_due)).await {
+            match input.read(stream).or(time_out_at(rest_due)).await {
                 Ok(0) => return Err(CloseReason::Closed),
                 Ok(_) => {}
                 Err(error) if error.kind() == io::ErrorKind::TimedOut => {
@@ -117,10 +119,9 @@
                 }
                 Err(_) => return Err(CloseReason::Reset),
             }
-            let used = self.take_answers(connection, &buffer)?;
-            buffer.drain(..used);
-            if buffer.is_empty() {
-                (rest_due, buffer) = (None, Vec::new());
+            let used = self.take_all_answers(connection, &mut input).await?;
+            if input.is_empty() {
+                rest_due = None;
             } else if used > 0 || rest_due.is_none() {
                 rest_due = Some(Instant::now() + ANSWER_REST_TIMEOUT);
             }
@@ -133,29 +134,68 @@
         Ok(())
     }
 
-    /// Handles the complete answers at the start of `buffer`, and returns their size in bytes.
-    fn take_answers(&self, connection: &Connection, buffer: &[u8]) -> Result<usize, CloseReason> {
+    /// Handles the complete answers in `input` and removes them. Returns their size in bytes. An
+    /// answer that does not fit into the memory budget waits until it does.
+    async fn take_all_answers(
+        &self,
+        connection: &Connection,
+        input: &mut AnswerInput,
+    ) -> Result<usize, CloseReason> {
+        let mut all_used = 0;
+        loop {
+            let release = self.memory.next_release();
+            let TakenAnswers { used, outcome } = self.take_answers(connection, input.bytes())?;
+            input.discard_front(used);
+            all_used += used;
+            if outcome == TakeOutcome::Done {
+                return Ok(all_used);
+            }
+            release.or(retry_pause()).await;
+        }
+    }
+
+    /// Handles complete answers at the start of `bytes`.
+    fn take_answers(
+        &self,
+        connection: &Connection,
+        bytes: &[u8],
+    ) -> Result<TakenAnswers, CloseReason> {
         let mut used = 0;
+        let mut outcome = TakeOutcome::Done;
         while !connection.has_ended.get() {
-            match connection.next_event(buffer, &mut used, self.now())? {
+            match connection.next_event(bytes, &mut used, self.now())? {
                 Some(UpstreamEvent::Ended(end)) => self.report_ends(vec![end]),
                 Some(UpstreamEvent::Progressed(progress)) => self.report_progress(progress),
+                Some(UpstreamEvent::OutOfMemory) => {
+                    outcome = TakeOutcome::OutOfMemory;
+                    break;
+                }
                 None => break,
             }
         }
-        Ok(used)
+        Ok(TakenAnswers { used, outcome })
     }
 }
 
-/// Reads once and appends to `buffer`. Returns the number of bytes read, 0 at the end of the
-/// stream.
-async fn read(stream: &Async<TcpStream>, buffer: &mut Vec<u8>) -> io::Result<usize> {
-    let mut chunk = [0u8; READ_CHUNK_BYTES];
-    let size = stream
-        .read_with(|mut socket| socket.read(&mut chunk))
-        .await?;
-    buffer.extend_from_slice(chunk.get(..size).unwrap_or_default());
-    Ok(size)
+/// Whether all complete answers were handled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TakeOutcome {
+    /// All were handled.
+    Done,
+    /// The next one does not fit into the memory budget now.
+    OutOfMemory,
+}
+
+/// The answers that were handled.
+struct TakenAnswers {
+    /// Their size in bytes.
+    used: usize,
+    outcome: TakeOutcome,
+}
+
+/// Memory may also be released without a notice, for example when the limit is raised.
+async fn retry_pause() {
+    Timer::after(MEMORY_RETRY_INTERVAL).await;
 }
 
 async fn time_out_after<T>(duration: Duration) -> io::Result<T> {
--- a/gateway/src/upstream/pool/mod.rs
+++ b/gateway/src/upstream/pool/mod.rs
@@ -3,6 +3,7 @@
 //! Connections belong to an engine id, not to an address. Another engine may later get the address
 //! of a removed one, and a connection to the old engine is never used for the new one.
 
+mod answer_input;
 mod driver;
 mod placement;
 mod requests;
@@ -14,6 +15,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_policy::interface::{EngineId, Micros, Outcome, QueryId};
 
 use super::close_reason::CloseReason;
@@ -38,6 +40,7 @@
     clock: Clock,
     limits: UpstreamLimits,
     stats: Rc<Stats>,
+    memory: MemoryBudget,
     /// The fence, which is checked before anything is sent. `None`: sending is always allowed.
     fence: Option<Rc<dyn Fence>>,
     max_connections: Cell<usize>,
@@ -52,14 +55,15 @@
 }
 
 impl Pool {
-    /// Creates a pool with an empty engine list and at most `max_connections` connections. Without
-    /// a `fence`, sending is always allowed.
+    /// Creates a pool with an empty engine list and at most `max_connections` connections, whose
+    /// input is charged to `memory`. Without a `fence`, sending is always allowed.
     #[must_use]
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
         clock: Clock,
         limits: UpstreamLimits,
         stats: Rc<Stats>,
+        memory: MemoryBudget,
         fence: Option<Rc<dyn Fence>>,
         max_connections: usize,
     ) -> Rc<Self> {
@@ -69,6 +73,7 @@
             clock,
             limits,
             stats,
+            memory,
             fence,
             max_connections: Cell::new(max_connections),
             events: RefCell::default(),
--- a/gateway/src/upstream/pool/placement.rs
+++ b/gateway/src/upstream/pool/placement.rs
@@ -95,6 +95,7 @@
             engine.addr,
             self.now(),
             Rc::clone(&self.stats),
+            self.memory.clone(),
         );
         self.connections
             .borrow_mut()
--- a/gateway/src/upstream/pool/tests.rs
+++ b/gateway/src/upstream/pool/tests.rs
@@ -12,10 +12,15 @@
 use futures_lite::future;
 use violetgate_policy::interface::{Engine, EngineState, ListScope, NewQuery};
 
+mod memory;
+
 use super::*;
 use crate::exchange::{Attempt, Exchange, Request, UpstreamEngines};
 use crate::request_memory::RequestMemory;
 
+/// The memory budget of a pool: more than most of these tests need.
+const MEMORY_BYTES: usize = 4 * 1024 * 1024;
+
 #[derive(Default)]
 struct Ends(RefCell<Vec<(QueryId, Outcome)>>);
 
@@ -33,6 +38,14 @@
 }
 
 fn pool_at(addr: SocketAddr, max_connections: usize) -> (Rc<Pool>, Rc<Ends>) {
+    pool_with_memory(addr, max_connections, MemoryBudget::new(MEMORY_BYTES))
+}
+
+fn pool_with_memory(
+    addr: SocketAddr,
+    max_connections: usize,
+    memory: MemoryBudget,
+) -> (Rc<Pool>, Rc<Ends>) {
     let limits = UpstreamLimits {
         connect_timeout: Duration::from_secs(60),
         idle_close: Duration::from_secs(60),
@@ -45,6 +58,7 @@
         Clock::start(),
         limits,
         stats,
+        memory,
         None,
         max_connections,
     );
@@ -103,8 +117,13 @@
 
 impl FakeEngine {
     fn new(max_connections: usize) -> Self {
+        Self::with_memory(max_connections, MemoryBudget::new(MEMORY_BYTES))
+    }
+
+    fn with_memory(max_connections: usize, memory: MemoryBudget) -> Self {
         let listener = TcpListener::bind(("127.0.0.1", 0)).unwrap();
-        let (pool, ends) = pool_at(listener.local_addr().unwrap(), max_connections);
+        let addr = listener.local_addr().unwrap();
+        let (pool, ends) = pool_with_memory(addr, max_connections, memory);
         FakeEngine {
             pool,
             ends,
--- a/gateway/tests/memory_limit/main.rs
+++ b/gateway/tests/memory_limit/main.rs
@@ -10,6 +10,7 @@
 mod support;
 
 mod crowd;
+mod engines;
 mod postgres_clients;
 mod rest_clients;
 mod statements;
