Write statements to engines without a copy for each connection

With 64 engines and clients that send statements of 64 KiB, the process came to within 1.2 MB of its limit of 32 MB. Cause: each engine connection encoded a command into a buffer of its own and kept the buffer's capacity after the write: up to 64 KiB on each of 256 connections, for good. Requests for up to 255 further pages were queued as one string each, and an engine that sends first pages under unknown ids without reading could queue 2,000 release lines a connection. Change: a command's line and the request's shared statement are written together (writev); a range of pages is one command, encoded when it is written; no release line is queued behind 64 others.

--- a/gateway/src/upstream/codec.rs
+++ b/gateway/src/upstream/codec.rs
@@ -56,23 +56,25 @@
     pub memory_grant_mb: u64,
     /// The priority level, if one was set.
     pub priority: Option<u8>,
-    /// The statement to run, sent unchanged after the command line.
-    pub statement: &'a [u8],
+    /// The size of the statement to run, which is sent unchanged after the command's line.
+    pub statement_bytes: usize,
 }
 
+/// What follows the statement of a [`RunCommand`].
+pub const RUN_COMMAND_END: &[u8] = b"\r\n";
+
 impl RunCommand<'_> {
-    /// Appends the encoded command to `out`.
-    pub fn write_to(&self, out: &mut Vec<u8>) {
-        let head = format!(
+    /// Appends the line of the command to `out`. The statement and [`RUN_COMMAND_END`] have to
+    /// follow it.
+    pub fn write_line_to(&self, out: &mut Vec<u8>) {
+        let line = format!(
             "{} {} {} {}\r\n",
             wire_word::RUN,
             self.request_id,
             self.fields(),
-            self.statement.len()
+            self.statement_bytes
         );
-        out.extend_from_slice(head.as_bytes());
-        out.extend_from_slice(self.statement);
-        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(line.as_bytes());
     }
 
     fn fields(&self) -> String {
--- a/gateway/src/upstream/connection/command_queue.rs
+++ b/gateway/src/upstream/connection/command_queue.rs
@@ -1,7 +1,9 @@
 //! The queue of commands to an engine, and the command that is being written.
 
 use std::collections::{HashMap, VecDeque};
-use std::io::{ErrorKind, Write};
+use std::io::{ErrorKind, IoSlice, Write};
+use std::ops::Range;
+use std::rc::Rc;
 
 use violetgate_policy::interface::{Micros, QueryId};
 
@@ -13,6 +15,9 @@
 /// If more commands than this are waiting, the engine is considered stalled, and the connection is
 /// closed.
 const MAX_QUEUED_COMMANDS: usize = 2_000;
+/// If more commands than this are waiting, an engine is no longer told that it may discard pages of
+/// answers that nobody waits for.
+const MAX_QUEUED_BEFORE_RELEASE: usize = 64;
 const MICROS_PER_MS: Micros = 1_000;
 
 /// A command to an engine.
@@ -26,6 +31,13 @@
     },
     /// Sends this line, which includes its CR LF.
     Line(String),
+    /// Requests pages of an answer.
+    ReadPages {
+        /// The id of the request as the client wrote it.
+        request_id: Box<str>,
+        /// The numbers of the pages, from 0.
+        pages: Range<usize>,
+    },
 }
 
 /// The state of the queue after a successful write.
@@ -40,7 +52,11 @@
 /// The command that is being written.
 #[derive(Default)]
 struct CurrentWrite {
-    bytes: Vec<u8>,
+    /// The lines of the command.
+    lines: Vec<u8>,
+    /// The statement after the line of a command that starts an attempt. It is shared with the
+    /// request, so that it is not held twice.
+    statement: Option<Rc<[u8]>>,
     written: usize,
     /// The query whose attempt the command starts. `None` for other commands, and once part of the
     /// command has been written.
@@ -51,8 +67,22 @@
 }
 
 impl CurrentWrite {
-    fn unwritten(&self) -> &[u8] {
-        self.bytes.get(self.written..).unwrap_or_default()
+    /// Returns what is not written yet.
+    fn unwritten(&self) -> [IoSlice<'_>; 3] {
+        let (statement, end) = match &self.statement {
+            Some(statement) => (&**statement, codec::RUN_COMMAND_END),
+            None => (&[][..], &[][..]),
+        };
+        let mut skipped = self.written;
+        [&*self.lines, statement, end].map(|part| {
+            let start = skipped.min(part.len());
+            skipped -= start;
+            IoSlice::new(part.get(start..).unwrap_or_default())
+        })
+    }
+
+    fn is_written(&self) -> bool {
+        self.unwritten().iter().all(|part| part.is_empty())
     }
 }
 
@@ -85,7 +115,8 @@
     /// several pages, the engine is told that it may discard the others.
     pub(super) fn handle_unknown_reply(&mut self, reply: &Reply<'_>) {
         let has_more = reply.page_count.is_some_and(|pages| pages > 1);
-        if reply.kind == ReplyKind::FirstPage && has_more {
+        let may_queue = self.waiting.len() <= MAX_QUEUED_BEFORE_RELEASE;
+        if reply.kind == ReplyKind::FirstPage && has_more && may_queue {
             let line = codec::release_line(reply.request_id);
             self.push(Command::Line(line));
         }
@@ -109,7 +140,7 @@
             return Err(CloseReason::Stalled);
         }
         loop {
-            if self.current.unwritten().is_empty() {
+            if self.current.is_written() {
                 if self.current.is_attempt {
                     count_attempt();
                 }
@@ -118,7 +149,7 @@
                 }
                 continue;
             }
-            match socket.write(self.current.unwritten()) {
+            match socket.write_vectored(&self.current.unwritten()) {
                 Ok(0) => return Err(CloseReason::Closed),
                 Ok(size) => {
                     self.current.written += size;
@@ -139,20 +170,21 @@
     /// Makes the next waiting command the current one. The command of an attempt that was cancelled
     /// in the meantime becomes empty. Returns false if no command is waiting.
     fn start_next(&mut self, open: &HashMap<QueryId, ActiveAttempt>, now: Micros) -> bool {
-        let mut bytes = std::mem::take(&mut self.current.bytes);
-        bytes.clear();
-        self.current = CurrentWrite {
-            bytes,
-            ..CurrentWrite::default()
-        };
+        self.current = CurrentWrite::default();
         match self.waiting.pop_front() {
             None => return false,
-            Some(Command::Line(line)) => self.current.bytes.extend_from_slice(line.as_bytes()),
+            Some(Command::Line(line)) => self.current.lines = line.into_bytes(),
+            Some(Command::ReadPages { request_id, pages }) => {
+                let lines = pages.map(|page| codec::page_line(&request_id, page));
+                self.current.lines = lines.collect::<String>().into_bytes();
+            }
             Some(Command::Run { query, attempt }) => {
                 let active = open.get(&query);
                 let active = active.filter(|active| active.attempt.number == attempt);
                 if let Some(active) = active {
-                    write_attempt(&mut self.current.bytes, &active.attempt, now);
+                    write_attempt_line(&mut self.current.lines, &active.attempt, now);
+                    let statement = &active.attempt.exchange.request.statement;
+                    self.current.statement = Some(Rc::clone(statement));
                     self.current.starts = Some(query);
                     self.current.is_attempt = true;
                 }
@@ -162,8 +194,9 @@
     }
 }
 
-/// Appends the command that starts an attempt. The time left is sent in milliseconds, rounded up.
-pub(super) fn write_attempt(out: &mut Vec<u8>, attempt: &Attempt, now: Micros) {
+/// Appends the line of the command that starts an attempt. The time left is sent in milliseconds,
+/// rounded up.
+pub(super) fn write_attempt_line(out: &mut Vec<u8>, attempt: &Attempt, now: Micros) {
     let request = &attempt.exchange.request;
     let time_left_ms = attempt.deadline.saturating_sub(now).div_ceil(MICROS_PER_MS);
     let command = RunCommand {
@@ -173,7 +206,7 @@
         idempotency_key: request.idempotency_key.as_deref(),
         memory_grant_mb: attempt.memory_grant_mb,
         priority: attempt.priority,
-        statement: &request.statement,
+        statement_bytes: request.statement.len(),
     };
-    command.write_to(out);
+    command.write_line_to(out);
 }
--- a/gateway/src/upstream/connection/mod.rs
+++ b/gateway/src/upstream/connection/mod.rs
@@ -34,6 +34,15 @@
 }
 
 impl ActiveAttempt {
+    fn new(attempt: Attempt, broken_connections: u32, memory: &MemoryBudget) -> Self {
+        ActiveAttempt {
+            attempt,
+            broken_connections,
+            has_begun: false,
+            result: PartialResult::new(memory),
+        }
+    }
+
     fn query(&self) -> QueryId {
         self.attempt.exchange.id()
     }
@@ -164,12 +173,7 @@
             query,
             attempt: attempt.number,
         });
-        let active = ActiveAttempt {
-            attempt,
-            broken_connections,
-            has_begun: false,
-            result: PartialResult::new(&self.memory),
-        };
+        let active = ActiveAttempt::new(attempt, broken_connections, &self.memory);
         state.open.insert(query, active);
         self.attempts.set(self.attempts.get() + 1);
     }
@@ -324,9 +328,12 @@
                 PageOutcome::Duplicate => return Ok(None),
                 PageOutcome::OutOfMemory => return Ok(Some(UpstreamEvent::OutOfMemory)),
                 PageOutcome::Incomplete { pages_to_request } => {
-                    for page in pages_to_request {
-                        let line = codec::page_line(active.request_id(), page);
-                        state.commands.push(Command::Line(line));
+                    if !pages_to_request.is_empty() {
+                        let request_id = active.request_id().into();
+                        let pages = pages_to_request;
+                        state
+                            .commands
+                            .push(Command::ReadPages { request_id, pages });
                     }
                     return Ok(None);
                 }
--- a/gateway/src/upstream/connection/tests.rs
+++ b/gateway/src/upstream/connection/tests.rs
@@ -5,11 +5,11 @@
     reason = "a failed step fails the test"
 )]
 
-use std::io::Read;
+use std::io::{Read, Write};
 
 use violetgate_policy::interface::{NewQuery, Progress};
 
-use super::command_queue::write_attempt;
+use super::command_queue::write_attempt_line;
 use super::partial_result::is_rows;
 use super::*;
 use crate::exchange::{Exchange, Request};
@@ -272,12 +272,69 @@
     assert!(used == bytes.len() && !connection.has_ended.get());
 }
 
+/// A socket that accepts a few bytes at a time.
+struct SlowSocket {
+    accepted: Vec<u8>,
+    bytes_at_a_time: usize,
+}
+
+impl Write for SlowSocket {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let size = bytes.len().min(self.bytes_at_a_time);
+        self.accepted.extend_from_slice(&bytes[..size]);
+        Ok(size)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// However few bytes the socket accepts at a time, commands are written whole and in order, and the
+/// statement is not copied.
+#[test]
+fn commands_are_written_whole_in_pieces_of_any_size() {
+    let run_command =
+        |id| format!("serve {id:016x} sort=lookup,patience=2,level=2 8\r\nSELECT 1\r\n");
+    let pages = format!("read {0:016x} 1\r\nread {0:016x} 2\r\n", 1);
+    for bytes_at_a_time in 1..60 {
+        let mut socket = SlowSocket {
+            accepted: Vec::new(),
+            bytes_at_a_time,
+        };
+        let mut queue = CommandQueue::default();
+        let mut open = HashMap::new();
+        let memory = MemoryBudget::new(1_000_000);
+        for id in [1, 2] {
+            queue.push(Command::Run {
+                query: id,
+                attempt: 0,
+            });
+            open.insert(id, ActiveAttempt::new(attempt(id), 0, &memory));
+            queue.push(Command::ReadPages {
+                request_id: format!("{:016x}", 1).into(),
+                pages: 1..3,
+            });
+        }
+        let outcome = queue.write_to(&mut socket, &mut open, 0, || {});
+        assert!(matches!(outcome, Ok(WriteOutcome::Done)));
+        let all = [run_command(1), pages.clone(), run_command(2), pages.clone()];
+        assert_eq!(String::from_utf8(socket.accepted).unwrap(), all.concat());
+        let statement = &open[&1].attempt.exchange.request.statement;
+        assert_eq!(
+            Rc::strong_count(statement),
+            1,
+            "no command holds it any more"
+        );
+    }
+}
+
 /// A memory grant is sent in the fields of the command. Without a grant the field is absent.
 #[test]
 fn a_memory_grant_is_a_field_of_the_request() {
     let command = |grant_mb| {
         let mut out = Vec::new();
-        write_attempt(
+        write_attempt_line(
             &mut out,
             &Attempt {
                 memory_grant_mb: grant_mb,
--- a/gateway/tests/memory_limit/engines.rs
+++ b/gateway/tests/memory_limit/engines.rs
@@ -3,7 +3,7 @@
 use violetgate_fake_upstreams::Fault;
 
 use super::crowd::Behaviour;
-use super::statements::{large_result, session};
+use super::statements::{large_result, session, slow_large_lookup};
 use super::{withstand, MANY_DESCRIPTORS, MEMORY_MB};
 use crate::support::GatewayProcess;
 
@@ -22,3 +22,13 @@
         Behaviour::send_at_once(|number| session(&[large_result(number | 1 << 40)]));
     withstand(&mut gateway, &addr, large_results);
 }
+
+/// Large statements on hundreds of engine connections, which kept a copy of the last one each.
+#[test]
+fn large_statements_to_many_engines_stay_within_the_memory_limit() {
+    let mut gateway = GatewayProcess::start_with_limits(ENGINES, "", MEMORY_MB, MANY_DESCRIPTORS);
+    let addr = gateway.listen.clone();
+    let large_statements =
+        Behaviour::send_at_once(|number| session(&[slow_large_lookup(number | 1 << 40)]));
+    withstand(&mut gateway, &addr, large_statements);
+}
--- a/gateway/tests/memory_limit/statements.rs
+++ b/gateway/tests/memory_limit/statements.rs
@@ -24,8 +24,17 @@
 
 /// A lookup whose message has the largest size. `id` has to be unique.
 pub fn large_lookup(id: u64) -> Vec<u8> {
+    large_statement(id, "SELECT 1")
+}
+
+/// A lookup whose message has the largest size, and which takes a while.
+pub fn slow_large_lookup(id: u64) -> Vec<u8> {
+    large_statement(id, "SELECT 'ms=300'")
+}
+
+fn large_statement(id: u64, select: &str) -> Vec<u8> {
     let head = format!(
-        "/* method=lookup,rid={id:016x},budget=1500 */ SELECT 1 FROM sales_3.plan WHERE note = '"
+        "/* method=lookup,rid={id:016x},budget=1500 */ {select} FROM sales_3.plan WHERE note = '"
     );
     let filler = "y".repeat(MAX_MESSAGE_BYTES - head.len() - 6);
     query(&format!("{head}{filler}'"))
