Report the memory held for peers, by purpose, in metrics and in the log

Change: svc_memory_limit_bytes, svc_memory_charged_bytes by purpose, svc_memory_rejected_total and svc_memory_reclaimed_total at /admin/stats; a log line with the same figures when half or 90% of the limit is passed, and when use has fallen again.

--- a/gateway/src/admin/operations.rs
+++ b/gateway/src/admin/operations.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use violetgate_memory_budget::{MemoryBudget, Purpose};
 use violetgate_policy::interface::Micros;
 
 use super::{OperationOutcome, Operations, PendingOperation};
@@ -17,7 +18,7 @@
 use crate::drain::DrainState;
 use crate::fleet::FleetMembership;
 use crate::log;
-use crate::metrics::catalog::event_bus;
+use crate::metrics::catalog::{event_bus, memory};
 use crate::metrics::text::MetricsText;
 use crate::replication::{CommitError, Participant};
 use crate::rest::RestFrontend;
@@ -33,6 +34,8 @@
 const COMMIT_TIMEOUT: Duration = Duration::from_millis(900);
 /// The operator name under which changes by management calls appear in the cluster's change log.
 const OPERATOR: &str = "management";
+/// The name of the label whose value is the purpose of memory.
+const PURPOSE_LABEL: &str = "purpose";
 
 /// The parts of the gateway that operators' calls read and change.
 pub struct OperationTargets {
@@ -54,6 +57,8 @@
     pub cluster: Option<Participant>,
     /// The membership of a fleet, if the gateway belongs to one.
     pub fleet: Option<Rc<FleetMembership>>,
+    /// The limit of the memory that peers can make this process hold.
+    pub memory: MemoryBudget,
 }
 
 /// The [`Operations`] of a gateway.
@@ -159,9 +164,11 @@
             rest,
             cluster,
             fleet,
+            memory,
             ..
         } = &self.targets;
         let mut out = stats.render(dispatch.engine_counts());
+        out += &memory_metrics(memory);
         if cluster.is_some() || fleet.is_some() {
             out += &self.discovery_metrics();
         }
@@ -209,6 +216,22 @@
     }
 }
 
+/// Returns the metrics of the memory that is held for peers.
+fn memory_metrics(memory: &MemoryBudget) -> String {
+    let counts = memory.counts();
+    let by_purpose = Purpose::ALL.map(|purpose| (purpose.name(), memory.used_for(purpose) as u64));
+    let mut out = MetricsText::new();
+    out.write_value(&memory::LIMIT_BYTES, memory.limit() as u64);
+    out.write_by_label(
+        &memory::CHARGED_BYTES,
+        PURPOSE_LABEL,
+        by_purpose.into_iter(),
+    );
+    out.write_value(&memory::CHARGES_REJECTED, counts.rejected);
+    out.write_value(&memory::CONNECTIONS_RECLAIMED, counts.reclaimed);
+    out.into_string()
+}
+
 fn outcome_of(committed: Result<(), CommitError>) -> OperationOutcome {
     match committed {
         Ok(()) => OperationOutcome::Done,
--- a/gateway/src/metrics/catalog/mod.rs
+++ b/gateway/src/metrics/catalog/mod.rs
@@ -3,5 +3,6 @@
 pub mod cluster;
 pub mod event_bus;
 pub mod fleet;
+pub mod memory;
 pub mod requests;
 pub mod rest;
--- a/gateway/src/metrics/mod.rs
+++ b/gateway/src/metrics/mod.rs
@@ -48,6 +48,8 @@
     Tokens,
     /// Idempotency keys.
     Keys,
+    /// Connections of clients and other callers.
+    Connections,
     /// Bytes.
     Bytes,
     /// Milliseconds.
--- a/gateway/src/metrics/tests.rs
+++ b/gateway/src/metrics/tests.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use super::catalog::{cluster, event_bus, fleet, requests, rest};
+use super::catalog::{cluster, event_bus, fleet, memory, requests, rest};
 use super::text::{Label, MetricsText};
 use super::{Metric, MetricKind, Unit};
 
@@ -15,6 +15,10 @@
     requests::REQUESTS_IN_PROGRESS,
     requests::ENGINES_LISTED,
     requests::ENGINES_AVOIDED,
+    memory::LIMIT_BYTES,
+    memory::CHARGED_BYTES,
+    memory::CHARGES_REJECTED,
+    memory::CONNECTIONS_RECLAIMED,
     rest::RESULTS,
     rest::RESULTS_BYTES,
     rest::RESULTS_FULL,
@@ -63,6 +67,7 @@
 /// The source texts of the catalog's files, to detect a declaration that [`CATALOG`] lacks.
 const CATALOG_SOURCES: &[&str] = &[
     include_str!("catalog/requests.rs"),
+    include_str!("catalog/memory.rs"),
     include_str!("catalog/rest.rs"),
     include_str!("catalog/event_bus.rs"),
     include_str!("catalog/cluster.rs"),
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -5,6 +5,7 @@
 mod assembly;
 mod error;
 mod listeners;
+mod memory_monitor;
 mod process_budget;
 mod reload;
 mod shared_files;
@@ -141,13 +142,16 @@
     gateway.executor.spawn(keeper.run()).detach();
 }
 
-/// Starts the tasks that close idle client connections and remove expired REST results.
+/// Starts the tasks that close idle client connections, log the use of memory and remove expired
+/// REST results.
 fn start_front_end_tasks(gateway: &GatewayParts) {
     let sessions = Rc::clone(&gateway.sessions);
     gateway
         .executor
         .spawn(async move { sessions.close_idle_while_draining().await })
         .detach();
+    let monitor = memory_monitor::log_memory_levels(gateway.memory.clone());
+    gateway.executor.spawn(monitor).detach();
     if let Some(rest) = gateway.rest.clone() {
         gateway
             .executor
@@ -185,6 +189,7 @@
         cordon_file: CordonFile::new(shared_files::cordon_path(&gateway.listen)),
         cluster: gateway.participant.clone(),
         fleet: gateway.fleet.clone(),
+        memory: gateway.memory.clone(),
     };
     let operations = GatewayOperations::new(gateway.clock, targets);
     let follower = Rc::clone(&operations);
