Charge REST requests, their buffers and pages to the memory limit

With max_connections = 256, clients that stopped within a REST body of 95 KB brought the process to 55.9 MB of 32. A connection that reads a body also counted as busy, so that none of them could be evicted for others. Cause: bodies, the HTTP server's buffers and pages as JSON were bounded for each connection only; the budget of stored results (16 MiB by default) was larger than all the memory of a small process. Change: a body is read into the connection's input, which is charged and can be reclaimed; its connection awaits a message until the body is complete. The server's buffer, open requests and each page that is being written are charged. Stored results take at most a third of the memory budget. A request that does not fit gets 503 out-of-memory. The statement is no longer held twice while it runs. Why it works: as for PostgreSQL, bytes are charged before they are stored, and the oldest incomplete body is dropped at once.

--- a/gateway/src/connection_limit/input_buffer.rs
+++ b/gateway/src/connection_limit/input_buffer.rs
@@ -1,7 +1,7 @@
 //! The input of a connection that is read and not handled yet. Its memory can be reclaimed for other
 //! connections.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 
 use violetgate_memory_budget::{BudgetExhausted, Charge, MemoryBudget, Purpose};
 
@@ -11,6 +11,8 @@
 /// Input that is read and not handled yet.
 pub struct InputBuffer {
     bytes: RefCell<Vec<u8>>,
+    /// The size of the buffer that a parser has in addition, in bytes.
+    parser_bytes: Cell<usize>,
     charge: Charge,
 }
 
@@ -18,6 +20,7 @@
     pub(super) fn new(memory: &MemoryBudget) -> Self {
         InputBuffer {
             bytes: RefCell::default(),
+            parser_bytes: Cell::new(0),
             charge: memory.empty_charge(Purpose::Input),
         }
     }
@@ -46,7 +49,7 @@
     /// reclaimed. The connection then has to end.
     pub fn append(&self, bytes: &[u8], message_size: usize) -> Result<(), BudgetExhausted> {
         let capacity = self.capacity_for(bytes.len(), message_size);
-        self.charge.resize(capacity)?;
+        self.charge.resize(capacity + self.parser_bytes.get())?;
         let mut held = self.bytes.borrow_mut();
         let additional = capacity - held.len();
         held.reserve_exact(additional);
@@ -54,10 +57,22 @@
         Ok(())
     }
 
+    /// Sets the size of the buffer that a parser has in addition, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails as [`InputBuffer::append`] does.
+    pub fn set_parser_bytes(&self, bytes: usize) -> Result<(), BudgetExhausted> {
+        let capacity = self.bytes.borrow().capacity();
+        self.charge.resize(capacity + bytes)?;
+        self.parser_bytes.set(bytes);
+        Ok(())
+    }
+
     /// Whether so many further bytes, which could also be read later, can be held without making
     /// memory short for others.
     pub fn has_spare_memory(&self, bytes: usize) -> bool {
-        let capacity = self.capacity_for(bytes, usize::MAX);
+        let capacity = self.capacity_for(bytes, usize::MAX) + self.parser_bytes.get();
         let additional = capacity.saturating_sub(self.charge.bytes());
         self.charge.has_spare(additional)
     }
@@ -107,6 +122,7 @@
 
     fn reduce_charge(&self) {
         // A smaller charge always fits.
-        let _ = self.charge.resize(self.bytes.borrow().capacity());
+        let capacity = self.bytes.borrow().capacity();
+        let _ = self.charge.resize(capacity + self.parser_bytes.get());
     }
 }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -59,6 +59,12 @@
 }
 
 impl Request {
+    /// Replaces the id of the request.
+    pub fn set_id(&mut self, id: QueryId) {
+        self.query.id = id;
+        self.id_text = format!("{id:016x}").into();
+    }
+
     /// Returns the latest time at which an answer can be given and still reach the client before
     /// its timeout, in microseconds since the Unix epoch.
     #[must_use]
@@ -78,16 +84,30 @@
 #[derive(Debug, Default)]
 pub struct Pages {
     pages: Vec<Box<[u8]>>,
-    _memory: Option<Charge>,
+    memory: Option<Charge>,
 }
 
 impl Pages {
-    /// Creates the pages of a result whose memory is charged to `memory`.
+    /// Creates the pages of a result. `memory` is charged for them and for encoding them.
     #[must_use]
     pub fn new(pages: Vec<Box<[u8]>>, memory: Charge) -> Self {
         Pages {
             pages,
-            _memory: Some(memory),
+            memory: Some(memory),
+        }
+    }
+
+    /// Returns the total size of the pages in bytes.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        self.pages.iter().map(|page| page.len()).sum()
+    }
+
+    /// Releases the memory for encoding the pages, because they are stored.
+    pub fn release_encoding_memory(&self) {
+        if let Some(memory) = &self.memory {
+            // A smaller charge always fits.
+            let _ = memory.resize(self.size_bytes().min(memory.bytes()));
         }
     }
 }
@@ -115,7 +135,7 @@
     /// Returns the total size of the pages in bytes.
     #[must_use]
     pub fn size_bytes(&self) -> usize {
-        self.pages.iter().map(|page| page.len()).sum()
+        self.pages.size_bytes()
     }
 }
 
--- a/gateway/src/rest/connection.rs
+++ b/gateway/src/rest/connection.rs
@@ -15,9 +15,9 @@
 use super::client_monitor::ClientMonitor;
 use super::connection_end::ConnectionEnd;
 use super::watch::{ConnectionWatch, Phase, PhaseTimeouts, WatchedStream};
-use super::{write_raw, RestFrontend};
+use super::{out_of_memory, write_raw, RestFrontend};
 use crate::clock::Clock;
-use crate::connection_limit::ConnectionSlot;
+use crate::connection_limit::{ConnectionSlot, MEMORY_LIMIT};
 use crate::http_error::HttpError;
 use crate::log;
 use crate::net;
@@ -62,6 +62,10 @@
     ) -> ConnectionEnd {
         let timeouts = self.phase_timeouts();
         let max_head_bytes = self.limits.borrow().max_head.0 as usize;
+        if watch.charge_server_buffer(max_head_bytes).is_err() {
+            write_raw(stream, &out_of_memory());
+            return ConnectionEnd::Requested(MEMORY_LIMIT);
+        }
         let (front_end, request_watch) = (Rc::clone(self), Rc::clone(watch));
         let service = hyper::service::service_fn(move |request| {
             let (front_end, watch) = (Rc::clone(&front_end), Rc::clone(&request_watch));
@@ -83,6 +87,9 @@
             if let Poll::Ready(result) = server.as_mut().poll(context) {
                 return Poll::Ready(Ok(result));
             }
+            if slot.is_reclaimed() {
+                return Poll::Ready(Err(ConnectionEnd::Requested(MEMORY_LIMIT)));
+            }
             if closing.is_none() {
                 if let Poll::Ready(reason) = close_requested.as_mut().poll(context) {
                     closing = Some(reason);
@@ -101,9 +108,7 @@
         .await;
         match (ended, closing) {
             (Err(end), _) => {
-                if end == ConnectionEnd::HeadTimeout {
-                    write_raw(stream, &head_timeout());
-                }
+                tell_client(stream, watch, end);
                 end
             }
             (Ok(_), Some(reason)) => ConnectionEnd::Requested(reason),
@@ -112,6 +117,18 @@
     }
 }
 
+/// Answers a request of which the rest has not arrived, if the connection ends because of it.
+fn tell_client(stream: &Async<TcpStream>, watch: &ConnectionWatch, end: ConnectionEnd) {
+    match end {
+        ConnectionEnd::HeadTimeout => write_raw(stream, &head_timeout()),
+        ConnectionEnd::Requested(MEMORY_LIMIT) if watch.awaits_rest_of_request() => {
+            watch.has_unread_input.set(true);
+            write_raw(stream, &out_of_memory());
+        }
+        _ => {}
+    }
+}
+
 fn head_timeout() -> HttpError {
     HttpError::new(
         StatusCode::REQUEST_TIMEOUT,
@@ -123,7 +140,7 @@
 /// Returns why a connection ended, if this process did not ask the connection's HTTP server to
 /// close it.
 fn end_from_result(result: hyper::Result<()>, watch: &ConnectionWatch) -> ConnectionEnd {
-    if watch.phase() == Phase::Request {
+    if matches!(watch.phase(), Phase::Body | Phase::Request) {
         return ConnectionEnd::ClosedDuringRequest;
     }
     match result {
--- a/gateway/src/rest/mod.rs
+++ b/gateway/src/rest/mod.rs
@@ -31,6 +31,7 @@
 use hyper::{Response, StatusCode};
 use rand_chacha::ChaCha8Rng;
 use violetgate_memory_budget::MemoryBudget;
+use violetgate_policy::interface::Micros;
 use violetgate_result_store::{ResultCache, ResultLimits};
 
 use crate::clock::Clock;
@@ -50,6 +51,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 /// How often expired results are removed and idle connections are closed during a drain.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+/// Stored results take at most the memory budget divided by this number, so that results of open
+/// requests still fit.
+const STORED_RESULTS_DIVISOR: usize = 3;
+
+/// The retry-after of a request that does not fit into the memory budget, in microseconds.
+const OUT_OF_MEMORY_RETRY_AFTER_US: Micros = 1_000_000;
 
 type Reply = Response<Full<Bytes>>;
 
@@ -86,11 +93,13 @@
     counters: Counters,
 }
 
-/// Returns the limits of the result store that the settings define.
+/// Returns the limits of the result store that the settings define, with a budget of `memory_bytes`
+/// for all that peers make this process hold.
 #[must_use]
-pub fn result_limits(settings: &settings::Rest) -> ResultLimits {
+pub fn result_limits(settings: &settings::Rest, memory_bytes: usize) -> ResultLimits {
+    let total_bytes = settings.results_bytes.0 as usize;
     ResultLimits {
-        total_bytes: settings.results_bytes.0 as usize,
+        total_bytes: total_bytes.min(memory_bytes / STORED_RESULTS_DIVISOR),
         max_result_bytes: MAX_RESULT_BYTES,
         max_results: settings.results,
     }
@@ -118,14 +127,19 @@
     /// Applies the limits of new settings. The listen address does not change.
     pub fn apply_limits(&self, settings: &settings::Rest) {
         *self.limits.borrow_mut() = settings.clone();
-        let limits = result_limits(settings);
-        self.parts.results.borrow_mut().set_limits(limits);
+        self.apply_result_limits();
         self.parts.idempotency.resize(settings.idempotency_keys);
     }
 
-    /// Changes the maximum number of connections.
+    /// Changes the maximum number of connections, and follows a change of the memory budget.
     pub fn resize(&self, max_connections: usize) {
         self.limiter.resize(max_connections, self.parts.clock.now());
+        self.apply_result_limits();
+    }
+
+    fn apply_result_limits(&self) {
+        let limits = result_limits(&self.limits.borrow(), self.parts.memory.limit());
+        self.parts.results.borrow_mut().set_limits(limits);
     }
 
     /// Returns the number of open requests plus the number of connections whose clients may still
@@ -190,6 +204,13 @@
     }
 }
 
+/// The error of a request that does not fit into the memory budget. Nothing ran.
+fn out_of_memory() -> HttpError {
+    let detail = "no memory is left for this request";
+    let error = HttpError::new(StatusCode::SERVICE_UNAVAILABLE, "out-of-memory", detail);
+    error.with_retry_after(OUT_OF_MEMORY_RETRY_AFTER_US)
+}
+
 /// Writes an error response without the HTTP server. The response is short enough that an empty
 /// socket buffer takes it in one write.
 fn write_raw(stream: &Async<TcpStream>, error: &HttpError) {
--- a/gateway/src/rest/pages.rs
+++ b/gateway/src/rest/pages.rs
@@ -2,10 +2,14 @@
 //! time that the query allows has passed.
 
 use std::rc::Rc;
+use std::time::Duration;
 
+use async_io::Timer;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::header::{HeaderValue, CACHE_CONTROL, CONTENT_TYPE, LINK};
 use hyper::{Response, StatusCode};
+use violetgate_memory_budget::Purpose;
 use violetgate_policy::interface::Micros;
 use violetgate_result_store::{AttemptId, LookupError, NewResult, ResultSlot};
 
@@ -18,11 +22,16 @@
 
 /// The number of the first page in the REST protocol. Engines count pages from 0.
 const FIRST_PAGE: usize = 1;
+/// The size of a page as JSON, with the unused capacity of its buffer, is at most this multiple of
+/// the size of its rows.
+const MAX_JSON_FACTOR: usize = 8;
+/// How often an answer that does not fit into the memory budget is tried again.
+const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 impl RestFrontend {
     /// Returns the answer to a query that was served. A result of several pages is stored, and its
     /// pages can be fetched until `expires_at`.
-    pub(super) fn first_page(
+    pub(super) async fn first_page(
         &self,
         result: Rc<QueryResult>,
         slot: ResultSlot,
@@ -30,8 +39,9 @@
         watch: &ConnectionWatch,
     ) -> Reply {
         if result.pages.len() <= 1 {
-            return page_reply(&result, FIRST_PAGE, None);
+            return self.page_reply(&result, FIRST_PAGE, None, watch).await;
         }
+        result.pages.release_encoding_memory();
         let stored = NewResult {
             pages: Rc::clone(&result),
             bytes: result.size_bytes(),
@@ -47,11 +57,12 @@
             token: &token,
             expires_at,
         };
-        page_reply(&result, FIRST_PAGE, Some(continuation))
+        self.page_reply(&result, FIRST_PAGE, Some(continuation), watch)
+            .await
     }
 
     /// Returns a page of a stored result. `page` counts from 1.
-    pub(super) fn fetch_page(
+    pub(super) async fn fetch_page(
         &self,
         token: &str,
         page: usize,
@@ -69,7 +80,30 @@
         // After the last page, the client no longer depends on this process.
         watch.set_sticky_until(if is_last { 0 } else { expires_at });
         let continuation = Continuation { token, expires_at };
-        Ok(page_reply(&result, page, Some(continuation)))
+        Ok(self
+            .page_reply(&result, page, Some(continuation), watch)
+            .await)
+    }
+
+    /// Formats a page. Its memory is charged until the page is written; while it does not fit, the
+    /// answer waits.
+    async fn page_reply(
+        &self,
+        result: &QueryResult,
+        page: usize,
+        continuation: Option<Continuation<'_>>,
+        watch: &ConnectionWatch,
+    ) -> Reply {
+        let rows = result.pages.get(page - 1).map_or(0, |rows| rows.len());
+        let memory = self.parts.memory.empty_charge(Purpose::Result);
+        let bytes = rows * MAX_JSON_FACTOR;
+        while memory.resize(bytes).is_err() {
+            Timer::after(MEMORY_RETRY_INTERVAL).await;
+        }
+        let reply = page_reply(result, page, continuation);
+        let _ = memory.resize(reply_bytes(&reply));
+        watch.set_answer_memory(memory);
+        reply
     }
 
     /// Deletes a stored result.
@@ -104,6 +138,11 @@
     }
 }
 
+fn reply_bytes(reply: &Reply) -> usize {
+    let size = reply.body().size_hint().lower();
+    usize::try_from(size).unwrap_or(usize::MAX)
+}
+
 fn page_reply(result: &QueryResult, page: usize, continuation: Option<Continuation<'_>>) -> Reply {
     let rows = result.pages.get(page - 1).map_or(&b""[..], |rows| rows);
     let page = Page {
--- a/gateway/src/rest/queries.rs
+++ b/gateway/src/rest/queries.rs
@@ -9,9 +9,10 @@
 use violetgate_result_store::ResultSlot;
 
 use super::watch::ConnectionWatch;
-use super::{wire, Reply, RestFrontend};
+use super::{out_of_memory, wire, Reply, RestFrontend};
 use crate::exchange::{Answer, Exchange, Request, RequestIdInUse, RequestSink};
 use crate::http_error::HttpError;
+use crate::request_memory::RequestMemory;
 use crate::stats::{increment, RequestEnding};
 
 /// How many random request ids are tried before a query fails. An id that is already in use is
@@ -22,19 +23,36 @@
 const REJECTED: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
 
 impl RestFrontend {
-    pub(super) async fn query(
+    /// Removes the body of a query from the input of its connection, and parses it.
+    pub(super) fn take_query(
         &self,
         headers: &HeaderMap,
-        body: &[u8],
         watch: &ConnectionWatch,
-    ) -> Result<Reply, HttpError> {
+    ) -> Result<Request, HttpError> {
         let received = self.parts.clock.now();
+        let body = watch.body().take_front(usize::MAX);
+        let id = self.draw_id();
+        let mut request = wire::parse_query(headers, &body, &self.parts.names, &id, received)?;
+        watch.record_request();
+        let memory = RequestMemory::charge(&self.parts.memory, request.statement.len());
+        request.memory = memory.map_err(|_| out_of_memory())?;
+        Ok(request)
+    }
+
+    fn draw_id(&self) -> String {
+        format!("{:016x}", self.rng.borrow_mut().next_u64())
+    }
+
+    pub(super) async fn query(
+        &self,
+        mut request: Request,
+        watch: &ConnectionWatch,
+    ) -> Result<Reply, HttpError> {
         for _ in 0..MAX_ID_DRAWS {
-            let id = format!("{:016x}", self.rng.borrow_mut().next_u64());
-            let request = wire::parse_query(headers, body, &self.parts.names, &id, received)?;
-            if let Ok(answered) = self.run_query(request, watch).await {
+            if let Ok(answered) = self.run_query(request.clone(), watch).await {
                 return answered;
             }
+            request.set_id(self.rng.borrow_mut().next_u64());
         }
         Err(HttpError::new(
             StatusCode::INTERNAL_SERVER_ERROR,
@@ -98,7 +116,7 @@
         let answer = exchange.answer().await;
         guard.disarm();
         Ok(match answer {
-            Answer::Served(result) => Ok(self.first_page(result, slot, expires_at, watch)),
+            Answer::Served(result) => Ok(self.first_page(result, slot, expires_at, watch).await),
             other => Err(error_of(&other)),
         })
     }
--- a/gateway/src/rest/routes.rs
+++ b/gateway/src/rest/routes.rs
@@ -13,7 +13,7 @@
 
 use super::watch::{ConnectionWatch, Phase};
 use super::wire::{self, Route};
-use super::{Reply, RestFrontend};
+use super::{out_of_memory, Reply, RestFrontend};
 use crate::http_error::HttpError;
 
 /// Counts a request as open until the guard is dropped.
@@ -39,7 +39,7 @@
         request: Request<Incoming>,
         watch: &Rc<ConnectionWatch>,
     ) -> Reply {
-        watch.set_phase(Phase::Request);
+        watch.set_phase(Phase::Body);
         watch.set_version(request.version());
         let _busy = BusyGuard::new(&self.busy);
         let mut reply = self.route(request, watch).await.unwrap_or_else(|error| {
@@ -69,10 +69,12 @@
         let (head, body) = request.into_parts();
         match wire::route(&head.method, head.uri.path()) {
             Route::Query => {
-                let body = self.read_body(body).await?;
-                self.query(&head.headers, &body, watch).await
+                self.read_body(body, watch).await?;
+                let query = self.take_query(&head.headers, watch);
+                watch.set_phase(Phase::Request);
+                self.query(query?, watch).await
             }
-            Route::Page { token, page } => self.fetch_page(token, page, watch),
+            Route::Page { token, page } => self.fetch_page(token, page, watch).await,
             Route::Delete { token } => self.delete(token),
             Route::MethodNotAllowed { allow } => Err(HttpError::method_not_allowed(allow)),
             Route::NotFound => Err(HttpError::new(
@@ -83,8 +85,9 @@
         }
     }
 
-    /// Reads a complete body within the size and time limits of the settings.
-    async fn read_body(&self, body: Incoming) -> Result<Vec<u8>, HttpError> {
+    /// Reads a complete body within the size and time limits of the settings, and appends it to the
+    /// input of the connection.
+    async fn read_body(&self, body: Incoming, watch: &ConnectionWatch) -> Result<(), HttpError> {
         let (max_bytes, timeout) = {
             let limits = self.limits.borrow();
             (limits.max_body.0 as usize, limits.body_timeout.0)
@@ -98,12 +101,17 @@
             let detail = "the body of the request was not whole in time";
             Err(HttpError::new(StatusCode::REQUEST_TIMEOUT, "request-timeout", detail).closing())
         };
-        read_frames(body, max_bytes).or(timed_out).await
+        read_frames(body, max_bytes, watch).or(timed_out).await
     }
 }
 
-async fn read_frames(mut body: Incoming, max_bytes: usize) -> Result<Vec<u8>, HttpError> {
-    let mut bytes = Vec::new();
+async fn read_frames(
+    mut body: Incoming,
+    max_bytes: usize,
+    watch: &ConnectionWatch,
+) -> Result<(), HttpError> {
+    let input = watch.body();
+    let declared_bytes = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| {
             let detail = format!("the body can't be read: {error}");
@@ -111,12 +119,13 @@
         })?;
         // Trailers have no data frame and are ignored.
         let data = frame.into_data().unwrap_or_default();
-        if bytes.len() + data.len() > max_bytes {
+        if input.len() + data.len() > max_bytes {
             return Err(body_too_large(max_bytes));
         }
-        bytes.extend_from_slice(&data);
+        let appended = input.append(&data, declared_bytes.max(input.len() + data.len()));
+        appended.map_err(|_| out_of_memory().closing())?;
     }
-    Ok(bytes)
+    Ok(())
 }
 
 fn body_too_large(max_bytes: usize) -> HttpError {
--- a/gateway/src/rest/watch.rs
+++ b/gateway/src/rest/watch.rs
@@ -2,7 +2,7 @@
 //! blocked. The connection's timeouts are computed from this state. The HTTP server reads and
 //! writes through a [`WatchedStream`], which updates it.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, Read};
 use std::net::TcpStream;
 use std::pin::Pin;
@@ -13,11 +13,12 @@
 use async_io::Async;
 use futures_lite::{ready, AsyncRead, AsyncWrite};
 use hyper::Version;
+use violetgate_memory_budget::{BudgetExhausted, Charge};
 use violetgate_policy::interface::Micros;
 
 use super::connection_end::ConnectionEnd;
 use crate::clock::{micros, Clock};
-use crate::connection_limit::{ConnectionSlot, ConnectionState};
+use crate::connection_limit::{ConnectionSlot, ConnectionState, InputBuffer};
 use crate::net;
 
 /// An interim response, which clients of HTTP/1.1 ignore (RFC 9110, section 15.2).
@@ -30,7 +31,9 @@
     Idle,
     /// The head of a request has arrived in part.
     Head,
-    /// The body of a request is being read, or the request waits for its answer.
+    /// The body of a request is being read.
+    Body,
+    /// A request waits for its answer.
     Request,
     /// An answer is being written.
     Answer,
@@ -67,6 +70,8 @@
     blocked_since: Cell<Option<Micros>>,
     /// The number of requests answered so far.
     pub answered: Cell<u64>,
+    /// The memory of the answer that is being written.
+    answer_memory: RefCell<Option<Charge>>,
     /// Whether a query waits for its answer.
     has_open_query: Cell<bool>,
     /// Whether the client of the current request takes interim responses.
@@ -91,6 +96,7 @@
             since: Cell::new(clock.now()),
             blocked_since: Cell::new(None),
             answered: Cell::new(0),
+            answer_memory: RefCell::default(),
             has_open_query: Cell::new(false),
             takes_interim_responses: Cell::new(false),
             stream,
@@ -112,10 +118,38 @@
         self.since.set(now);
         let state = match phase {
             Phase::Idle => ConnectionState::Idle,
-            Phase::Head => ConnectionState::AwaitingMessage,
+            Phase::Head | Phase::Body => ConnectionState::AwaitingMessage,
             Phase::Request | Phase::Answer => ConnectionState::Busy,
         };
         self.slot.set_state(state, now);
+        if phase == Phase::Idle {
+            self.answer_memory.take();
+        }
+    }
+
+    /// Charges the buffer of the HTTP server, which it keeps as long as the connection is open.
+    pub(super) fn charge_server_buffer(&self, bytes: usize) -> Result<(), BudgetExhausted> {
+        self.slot.input.set_parser_bytes(bytes)
+    }
+
+    /// Returns the input of the connection, to which the body of a request is appended.
+    pub(super) fn body(&self) -> &InputBuffer {
+        &self.slot.input
+    }
+
+    /// Records that the client has sent a complete and valid request.
+    pub(super) fn record_request(&self) {
+        self.slot.record_request();
+    }
+
+    /// Keeps the memory of the next answer charged until it is written.
+    pub(super) fn set_answer_memory(&self, memory: Charge) {
+        *self.answer_memory.borrow_mut() = Some(memory);
+    }
+
+    /// Whether a part of a request has arrived, and the rest of it has not.
+    pub(super) fn awaits_rest_of_request(&self) -> bool {
+        matches!(self.phase(), Phase::Head | Phase::Body)
     }
 
     /// Records the HTTP version of the current request. Interim responses came with HTTP/1.1.
@@ -169,7 +203,7 @@
             (Phase::Idle, _) => (since, timeouts.idle, ConnectionEnd::Idle),
             (Phase::Head, _) => (since, timeouts.head, ConnectionEnd::HeadTimeout),
             (_, Some(blocked)) => (blocked, timeouts.write, ConnectionEnd::Stalled),
-            (Phase::Request | Phase::Answer, None) => return None,
+            (Phase::Body | Phase::Request | Phase::Answer, None) => return None,
         };
         let at = since + micros(timeout);
         Some(PhaseDeadline { at, end })
@@ -183,6 +217,7 @@
             }
             Poll::Ready(_) => None,
         });
+        self.slot.set_answer_blocked(self.blocked_since.get());
     }
 }
 
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -294,7 +294,8 @@
         let mut secret = [0; 32];
         getrandom::fill(&mut secret).map_err(StartError::Random)?;
         let sealer = TokenSealer::new(&secret);
-        let results = ResultCache::new(sealer, result_limits(rest_settings), self.clock.now());
+        let limits = result_limits(rest_settings, self.memory.limit());
+        let results = ResultCache::new(sealer, limits, self.clock.now());
         let idempotency = IdempotencyLayer::new(
             dispatch,
             Rc::clone(self.executor),
--- a/gateway/src/serve/process_budget.rs
+++ b/gateway/src/serve/process_budget.rs
@@ -146,11 +146,11 @@
             budget.engines,
             budget.memory_bytes
         ));
+        self.memory.resize(budget.memory_bytes);
         self.sessions.resize(budget.postgres);
         if let Some((rest, _)) = &self.rest {
             rest.resize(budget.rest);
         }
         self.pool.resize(budget.engines);
-        self.memory.resize(budget.memory_bytes);
     }
 }
--- a/gateway/tests/rest/limits.rs
+++ b/gateway/tests/rest/limits.rs
@@ -42,6 +42,42 @@
     assert_eq!(gateway.post_query(&query, None).status, 200);
 }
 
+/// Bodies that are never completed use up the memory for input. The oldest ones are answered and
+/// closed, and a client that sends its whole body is served.
+#[test]
+fn the_oldest_half_bodies_are_dropped_for_a_whole_one() {
+    const LITTLE_MEMORY_MB: u64 = 8;
+    const HALF_BODIES: usize = 30;
+    let gateway = GatewayProcess::start_with_limits(
+        1,
+        "  max_connections = 64\n  body_timeout = \"30s\"",
+        LITTLE_MEMORY_MB,
+        1_024,
+    );
+    let query = report(30_000, &"x".repeat(60_000)).to_string();
+    let mut half_bodies: Vec<_> = (0..HALF_BODIES)
+        .map(|_| {
+            let mut http = gateway.http();
+            let head = format!(
+                "POST /v1/queries HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
+                query.len()
+            );
+            http.send_raw(head.as_bytes());
+            http.send_raw(&query.as_bytes()[..query.len() - 1]);
+            http
+        })
+        .collect();
+    let reply = half_bodies[0].read();
+    assert_eq!(
+        (reply.status, reply.problem_type().as_str()),
+        (503, "out-of-memory")
+    );
+    assert!(half_bodies[0].is_closed());
+    let last = half_bodies.last_mut().unwrap();
+    last.send_raw(&query.as_bytes()[query.len() - 1..]);
+    assert_eq!(last.read().status, 200);
+}
+
 /// A request that exceeds a limit gets the status for it. Slow and silent clients don't affect
 /// others.
 #[test]
