Bound the history of arrivals while no query is sent

Cause: the retry budget remembers the time of each arrival, and only a send removed old ones. While nothing is sent (no engine, all rejected) the history grew by 8 bytes for each request, for good. Change: at most 65,536 arrivals are remembered. Without the oldest ones the retry budget is smaller than it could be, never larger.

--- a/policy/src/gateway.rs
+++ b/policy/src/gateway.rs
@@ -41,6 +41,15 @@
     pub avoided: usize,
 }
 
+/// The numbers of entries that are remembered after queries have ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RememberedCounts {
+    /// Ordering keys, those of open queries included.
+    pub ordering_keys: usize,
+    /// Arrivals and retries in the window of the retry budget.
+    pub history: usize,
+}
+
 impl Gateway {
     /// Creates a gateway that knows no engines yet. The seed determines all its random choices;
     /// each gateway of a fleet should have a different one.
@@ -128,6 +137,15 @@
         }
     }
 
+    /// Returns how much is remembered after queries have ended.
+    #[must_use]
+    pub fn remembered_counts(&self) -> RememberedCounts {
+        RememberedCounts {
+            ordering_keys: self.queries.keys.len(),
+            history: self.queries.history.len(),
+        }
+    }
+
     /// Returns the place of an engine, or `None` if it was never listed.
     #[must_use]
     pub fn engine_location(&self, engine: EngineId) -> Option<EngineLocation> {
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -58,5 +58,5 @@
 mod units;
 pub mod wire;
 
-pub use gateway::{EngineCounts, Gateway};
+pub use gateway::{EngineCounts, Gateway, RememberedCounts};
 pub use interface::{Action, Event, Settings};
--- a/policy/src/state/retry_history.rs
+++ b/policy/src/state/retry_history.rs
@@ -4,6 +4,10 @@
 
 use crate::interface::Micros;
 
+/// The maximum number of arrivals in the history. Without the oldest arrivals, the
+/// retry budget is smaller than it could be, never larger.
+const MAX_ARRIVALS: usize = 65_536;
+
 /// The times of arrivals and of retries, in order.
 #[derive(Debug, Default)]
 pub(crate) struct RetryHistory {
@@ -13,9 +17,14 @@
 
 impl RetryHistory {
     pub fn record_arrival(&mut self, now: Micros) {
+        if self.arrivals.len() >= MAX_ARRIVALS {
+            self.arrivals.pop_front();
+        }
         self.arrivals.push_back(now);
     }
 
+    /// Records a retry. The history of retries needs no maximum: the retry budget allows fewer
+    /// retries than there are arrivals, plus a constant.
     pub fn record_retry(&mut self, now: Micros) {
         self.retries.push_back(now);
     }
@@ -29,6 +38,11 @@
         }
     }
 
+    /// Returns the number of arrivals and retries in the history.
+    pub fn len(&self) -> usize {
+        self.arrivals.len() + self.retries.len()
+    }
+
     /// Returns the number of arrivals in the history.
     pub fn remembered_arrivals(&self) -> usize {
         self.arrivals.len()
