Forget ordering keys when their holds have ended

Cause: the record of an ordering key whose last attempt may still run was kept for its hold, and removed only if a later query used the same key. Each timed-out query under a new key left a record for good. Attempts of classes without order that name the same key put further holds on such leftover records. Change: a record without open queries is removed when its hold ends.

--- a/policy/src/admission.rs
+++ b/policy/src/admission.rs
@@ -146,6 +146,7 @@
         let weight = class.priority_weight.unwrap_or(1.0);
         self.overall.priority_weight.record(weight, ARRIVAL_GAIN);
         self.overall.work.record(query.work, ARRIVAL_GAIN);
+        self.queries.forget_released_keys(self.now);
         if class.ordered_by_key {
             if let Some(key) = request.ordering_key {
                 let order = self.queries.keys.entry(key).or_default();
--- a/policy/src/queueing.rs
+++ b/policy/src/queueing.rs
@@ -104,6 +104,8 @@
             self.schedule_check(next, check_at.max(self.now));
         } else if held_until <= self.now {
             self.queries.keys.remove(&key);
+        } else {
+            self.queries.forget_key_at(held_until, key);
         }
     }
 }
--- a/policy/src/state/key_order.rs
+++ b/policy/src/state/key_order.rs
@@ -34,6 +34,11 @@
         is_first && !self.hold.is_some_and(blocks)
     }
 
+    /// Returns whether no query with this key is open and the key is not held at `now`.
+    pub fn is_unused_at(&self, now: Micros) -> bool {
+        self.open.is_empty() && self.hold.is_none_or(|hold| hold.until <= now)
+    }
+
     /// Returns the oldest open query.
     pub fn first(&self) -> Option<QueryId> {
         self.open.first_key_value().map(|(_, query)| *query)
--- a/policy/src/state/query_table.rs
+++ b/policy/src/state/query_table.rs
@@ -29,6 +29,8 @@
     pub threads_out: ThreadsByPriority,
     /// The open queries of each ordering key.
     pub keys: BTreeMap<u64, KeyOrder>,
+    /// When the holds of ordering keys without open queries end.
+    hold_ends: BTreeSet<(Micros, u64)>,
     /// The number of queries that have arrived since the gateway started.
     pub arrivals: u64,
     pub history: RetryHistory,
@@ -63,6 +65,26 @@
         self.arrivals
     }
 
+    /// Forgets an ordering key without open queries at `held_until`, when its hold ends, unless it is
+    /// used again until then.
+    pub fn forget_key_at(&mut self, held_until: Micros, key: u64) {
+        self.hold_ends.insert((held_until, key));
+    }
+
+    /// Forgets the ordering keys whose holds have ended and which have no open queries.
+    pub fn forget_released_keys(&mut self, now: Micros) {
+        while let Some((held_until, key)) = self.hold_ends.first().copied() {
+            if held_until > now {
+                return;
+            }
+            self.hold_ends.pop_first();
+            let order = self.keys.get(&key);
+            if order.is_some_and(|order| order.is_unused_at(now)) {
+                self.keys.remove(&key);
+            }
+        }
+    }
+
     pub fn insert(&mut self, query: Query) {
         self.queries.insert(query.request.id, query);
     }
