Charge remembered ids and keys, and remember no id that was never sent

Each id was remembered for 10 s, whatever had become of its request, and up to 65,536 idempotency keys with it. Cause: the numbers of remembered ids and keys were bounded by time or by a constant that fits a large process only. Change: an id is remembered only if an attempt of its request was sent; running a request again that was never sent does no harm. Ids, keys and what the decisions remember are charged to the memory limit. While that is full, new requests are rejected with a retry delay. Four floods of one connection are played against a real process. Evidence: the new test of ids failed before ((100, 100) ids remembered of 100 requests that were never sent).

--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -9,6 +9,7 @@
 mod open_request;
 mod recent_ids;
 mod request_sink;
+mod retained_memory;
 mod sent_keys;
 mod timers;
 
@@ -16,6 +17,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_policy::interface::{EngineId, ListScope, QueryId};
 use violetgate_policy::{Action, EngineCounts, Event, Gateway, Settings};
 
@@ -24,6 +26,7 @@
 use crate::fence::{rejection_or_failure, Fence};
 use open_request::{ClassProperties, OpenRequest};
 use recent_ids::RecentIds;
+use retained_memory::{RetainedCounts, RetainedMemory};
 use sent_keys::SentKeys;
 use timers::{TimerEvent, TimerQueue};
 
@@ -43,6 +46,7 @@
     open: RefCell<HashMap<QueryId, OpenRequest>>,
     recent_ids: RefCell<RecentIds>,
     sent_keys: RefCell<SentKeys>,
+    retained_memory: RetainedMemory,
     events: RefCell<VecDeque<Event>>,
     /// Whether `process_events` is running. Events that occur meanwhile are only queued.
     is_running: Cell<bool>,
@@ -51,13 +55,15 @@
 
 impl Dispatch {
     /// Creates a dispatcher that sends attempts to `engines`. `seed` initialises the random numbers
-    /// of the decision module. Without a `fence`, sending is always allowed.
+    /// of the decision module. What is remembered of requests is charged to `memory`. Without a
+    /// `fence`, sending is always allowed.
     #[must_use]
     pub fn new(
         clock: Clock,
         settings: Settings,
         seed: u64,
         engines: Rc<dyn UpstreamEngines>,
+        memory: &MemoryBudget,
         fence: Option<Rc<dyn Fence>>,
     ) -> Rc<Self> {
         Rc::new(Dispatch {
@@ -75,6 +81,7 @@
             open: RefCell::default(),
             recent_ids: RefCell::default(),
             sent_keys: RefCell::default(),
+            retained_memory: RetainedMemory::new(memory),
             events: RefCell::new(VecDeque::from([Event::TimerFired])),
             is_running: Cell::new(false),
             timers: TimerQueue::default(),
@@ -268,7 +275,18 @@
         if let Some(key) = key {
             self.sent_keys.borrow_mut().closed(key, query);
         }
-        self.recent_ids.borrow_mut().add(query, self.clock.now());
+        if closed.is_some_and(|request| request.attempts > 0) {
+            self.recent_ids.borrow_mut().add(query, self.clock.now());
+        }
+    }
+
+    /// Returns how much is remembered of open and ended requests, with one more request.
+    fn retained_counts(&self, open: &HashMap<QueryId, OpenRequest>) -> RetainedCounts {
+        RetainedCounts {
+            ids: self.recent_ids.borrow().len() + open.len() + 1,
+            keys: self.sent_keys.borrow().len(),
+            decisions: self.decisions.borrow().remembered_counts(),
+        }
     }
 
     /// Fires timers when they are due. Never returns.
--- a/gateway/src/dispatch/request_sink.rs
+++ b/gateway/src/dispatch/request_sink.rs
@@ -11,9 +11,9 @@
 use crate::exchange::{Answer, Exchange, Request, RequestIdInUse, RequestSink};
 use crate::fence::rejection_or_failure;
 
-/// The retry-after of a request that is rejected because too many idempotency keys are remembered,
-/// in microseconds.
-const TOO_MANY_KEYS_RETRY_AFTER_US: Micros = 1_000_000;
+/// The retry-after of a request that is rejected because too much is remembered of earlier ones, in
+/// microseconds.
+const TOO_MUCH_RETAINED_RETRY_AFTER_US: Micros = 1_000_000;
 
 impl Dispatch {
     /// Returns the attempts of earlier requests with the same idempotency key that may have run and
@@ -62,9 +62,13 @@
         }
         let key = request.dedup_key();
         let opened = key.map_or(Ok(()), |key| self.sent_keys.borrow_mut().open(key, id));
-        if opened == Err(TooManyKeys) {
+        let retained = self.retained_memory.charge(&self.retained_counts(&open));
+        if opened == Err(TooManyKeys) || retained.is_err() {
+            if let Some(key) = key {
+                self.sent_keys.borrow_mut().closed(key, id);
+            }
             exchange.complete(Answer::Rejected {
-                retry_after: TOO_MANY_KEYS_RETRY_AFTER_US,
+                retry_after: TOO_MUCH_RETAINED_RETRY_AFTER_US,
             });
             return Ok(());
         }
--- a/gateway/src/dispatch/sent_keys.rs
+++ b/gateway/src/dispatch/sent_keys.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Returns the number of keys.
+    pub(super) fn len(&self) -> usize {
+        self.records.len()
+    }
+
     /// Returns the number of keys, and the number of expiries.
     #[cfg(test)]
     pub(super) fn sizes(&self) -> (usize, usize) {
--- a/gateway/src/dispatch/tests/clients.rs
+++ b/gateway/src/dispatch/tests/clients.rs
@@ -12,6 +12,36 @@
     assert!(ids < 15 && by_age == ids, "{ids}");
 }
 
+/// The ids of requests that were never sent were remembered, too, so that a client that floods the
+/// gateway with requests that are rejected made it use more and more memory.
+#[test]
+fn ids_of_requests_that_were_never_sent_are_not_remembered() {
+    let (dispatch, _) = dispatch(0);
+    for id in 1..=100 {
+        submit(&dispatch, id, 60_000_000);
+        dispatch.withdraw(id);
+    }
+    assert_eq!(dispatch.recent_ids.borrow().sizes(), (0, 0));
+    submit(&dispatch, 1, 60_000_000);
+}
+
+/// What is remembered of requests is charged to the memory budget. While it is full, requests are
+/// rejected, and nothing more is remembered.
+#[test]
+fn requests_are_rejected_while_too_much_is_remembered() {
+    let (dispatch, _) = dispatch(1);
+    let mut rejected = 0;
+    for id in 1..=2_000 {
+        let exchange = submit(&dispatch, id, 60_000_000);
+        dispatch.attempt_ended(end(id, 0, Outcome::Error));
+        dispatch.withdraw(id);
+        rejected += u64::from(matches!(answer(&exchange), Some(Answer::Rejected { .. })));
+    }
+    let (remembered, _) = dispatch.recent_ids.borrow().sizes();
+    assert!(rejected > 0 && remembered > 0, "{rejected} {remembered}");
+    assert!(remembered * 64 <= MEMORY_BYTES / 2, "{remembered}");
+}
+
 #[test]
 fn a_withdrawn_request_is_cancelled_once_and_gets_no_answer() {
     let (dispatch, upstream) = dispatch(1);
--- a/gateway/src/dispatch/tests/mod.rs
+++ b/gateway/src/dispatch/tests/mod.rs
@@ -98,6 +98,9 @@
     dispatch_with(engines, Class::default(), Settings::default())
 }
 
+/// The memory budget of a dispatcher: less than a thousand requests may be remembered.
+const MEMORY_BYTES: usize = 100_000;
+
 fn dispatch_with(
     engines: u32,
     class: Class,
@@ -123,7 +126,15 @@
     let upstream = Rc::new(RecordingEngines::default());
     let fence: Rc<dyn Fence> = Rc::<RecordingEngines>::clone(&upstream);
     let engine_pool: Rc<dyn UpstreamEngines> = Rc::<RecordingEngines>::clone(&upstream);
-    let dispatch = Dispatch::new(Clock::start(), settings, 7, engine_pool, Some(fence));
+    let memory = MemoryBudget::new(MEMORY_BYTES);
+    let dispatch = Dispatch::new(
+        Clock::start(),
+        settings,
+        7,
+        engine_pool,
+        &memory,
+        Some(fence),
+    );
     let addr = SocketAddr::from(([127, 0, 0, 1], 1));
     let listed = |id| ListedEngine {
         engine: Engine {
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -167,11 +167,11 @@
             clock,
             config.upstream,
             Rc::clone(&stats),
-            memory,
+            memory.clone(),
             fence.clone(),
             max_engine_connections,
         );
-        let dispatch = create_dispatch(clock, config, &pool, fence);
+        let dispatch = create_dispatch(clock, config, &pool, &memory, fence);
         let fleet_size = config.settings.gateways.unwrap_or(1);
         let fleet = settings.fleet.as_ref().map(|fleet| {
             FleetMembership::start(executor, fleet, clock, process_seed, fleet_size, &dispatch)
@@ -209,11 +209,12 @@
     clock: Clock,
     config: &Config,
     pool: &Rc<Pool>,
+    memory: &MemoryBudget,
     fence: Option<Rc<dyn Fence>>,
 ) -> Rc<Dispatch> {
     let engines: Rc<dyn UpstreamEngines> = Rc::<Pool>::clone(pool);
     let settings = config.settings.clone();
-    let dispatch = Dispatch::new(clock, settings, config.seed, engines, fence);
+    let dispatch = Dispatch::new(clock, settings, config.seed, engines, memory, fence);
     let events: Rc<dyn AttemptEvents> = Rc::<Dispatch>::clone(&dispatch);
     let events: Weak<dyn AttemptEvents> = Rc::downgrade(&events);
     pool.report_to(events);
--- a/gateway/tests/memory_limit/main.rs
+++ b/gateway/tests/memory_limit/main.rs
@@ -11,6 +11,7 @@
 
 mod crowd;
 mod engines;
+mod floods;
 mod postgres_clients;
 mod rest_clients;
 mod statements;
@@ -43,13 +44,20 @@
     served: u64,
 }
 
-/// Lets a crowd act on a gateway with the least memory, while a usual client sends requests on one
-/// session. Checks that the process stays within its limit and that the usual client is served.
+/// Lets a crowd act on a gateway with the least memory, and checks that the process stays within its
+/// limit and that a usual client is served.
 fn withstand(gateway: &mut GatewayProcess, addr: &str, behaviour: Behaviour) {
+    watch_usual_client(gateway, || Crowd::start(addr, CROWD_SIZE, behaviour));
+}
+
+/// Sends requests of a usual client while other clients act, which `start_others` starts and which
+/// stop when its result is dropped. Checks that the process stays within its memory limit and that
+/// the usual client is served.
+fn watch_usual_client<T>(gateway: &mut GatewayProcess, start_others: impl FnOnce() -> T) {
     // One crowd at a time, as each needs most of the descriptors that a test may have.
     static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
     let _only_crowd = lock(&ONE_AT_A_TIME);
-    let crowd = Crowd::start(addr, CROWD_SIZE, behaviour);
+    let others = start_others();
     let ends_at = Instant::now() + CROWD_TIME;
     let mut usual = UsualClient::default();
     while Instant::now() < ends_at {
@@ -57,7 +65,7 @@
         usual.served += u64::from(is_usual_client_served(gateway, usual.requests));
         std::thread::sleep(USUAL_INTERVAL);
     }
-    drop(crowd);
+    drop(others);
     let peak = gateway.peak_memory_bytes();
     assert!(
         peak <= MEMORY_MB * 1_000_000,
--- a/tools/scale/src/lightweight_gateway/gateway.rs
+++ b/tools/scale/src/lightweight_gateway/gateway.rs
@@ -13,6 +13,7 @@
     Overrides, UpstreamEngines,
 };
 use violetgate::settings::{self, Settings};
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_policy::interface::{EngineId, ListScope, QueryId};
 use violetgate_raft::NodeId;
 use violetgate_replicated_state::{Micros, Revision};
@@ -21,6 +22,9 @@
 use super::protocol::Traffic;
 use super::{LightweightGatewayError, Part};
 
+/// The memory budget of a gateway that serves no clients.
+const MEMORY_BYTES: usize = 1_000_000;
+
 /// The inputs from which all gateways of a process are created.
 pub struct GatewayTemplate {
     /// The platform's configuration, as text.
@@ -174,7 +178,9 @@
         let gateways = config.settings.gateways.unwrap_or(1);
         let settings = std::mem::take(&mut config.settings);
         let fence = subscriber.as_ref().map(SubscriptionFence::before);
-        let dispatch = Dispatch::new(template.clock, settings, seed, Rc::new(NoEngines), fence);
+        let engines = Rc::new(NoEngines);
+        let memory = MemoryBudget::new(MEMORY_BYTES);
+        let dispatch = Dispatch::new(template.clock, settings, seed, engines, &memory, fence);
         let fleet = if template.runs(Part::Membership) {
             let settings = template.fleet_settings_of(index, &name)?;
             let clock = template.clock;
