Forget removed engines in the pool's list

Cause: an engine that was removed stayed in the pool's list, in state removed, for the life of the process. Change: removed engines are dropped from it. An engine that is not in the list already counts as removed, and its connections are retired when it is removed, so a later engine of the same id gets new ones as before.

--- a/gateway/src/upstream/pool/requests.rs
+++ b/gateway/src/upstream/pool/requests.rs
@@ -100,6 +100,8 @@
                 replaced.push(new.engine.id);
             }
         }
+        // An engine that is not in the list counts as removed.
+        listed.retain(|_, listed| listed.engine.state != EngineState::Removed);
         replaced
     }
 }
--- a/gateway/src/upstream/pool/tests/memory.rs
+++ b/gateway/src/upstream/pool/tests/memory.rs
@@ -53,6 +53,27 @@
     assert!(memory.counts().peak <= SMALL_MEMORY_BYTES);
 }
 
+/// Engines that were removed stayed in the pool's list for the life of the process.
+#[test]
+fn removed_engines_are_forgotten() {
+    let (pool, _) = pool(3);
+    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
+    for id in 1..100 {
+        for state in [EngineState::Ready, EngineState::Removed] {
+            let engine = Engine {
+                id,
+                zone: 0,
+                kind: 0,
+                cell: 0,
+                state,
+                started: None,
+            };
+            pool.update_list(ListScope::Patch, &[ListedEngine { engine, addr }]);
+        }
+    }
+    assert_eq!(pool.listed.borrow().len(), 1);
+}
+
 /// An answer that is still incomplete is charged as well, and an idle connection holds nothing.
 #[test]
 fn incomplete_answers_are_charged_until_they_are_handled() {
