Charge calls of the cluster API and their answers to the memory limit

Cause: bodies, read buffers (400 KB each by the HTTP server's default) and answers were bounded for each connection only, and a connection over the limit of 64 was refused, whoever held the others. Evidence: the new test half_calls_stay_within_the_memory_limit failed before with 217.8 MB. Change: a body is read into the connection's input, which is charged and reclaimed as a client's is; a complete call is charged with twice its body, and an answer with its size, to the purpose control; what does not fit gets 503 out-of-memory. At the limit of connections, one without a complete call is evicted. The management address is left as it is: it takes 12 connections with 12 KiB each. Measured: the test passes (64 MB), the other tests of the cluster as well.

--- a/gateway/src/replication/api/router.rs
+++ b/gateway/src/replication/api/router.rs
@@ -6,14 +6,16 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode};
+use violetgate_memory_budget::Charge;
 use violetgate_replicated_state::Txn;
 
 use super::super::member::{ClusterMember, Commit};
+use super::connection::{ApiConnection, CallBody};
 use super::query::Query;
 use super::responses::{revision_reply, ReplyResult};
+use crate::connection_limit::ConnectionState;
 use crate::http_error::HttpError;
 use crate::log;
 
@@ -29,6 +31,8 @@
 pub(super) struct ApiCall {
     pub query: Query,
     pub body: Vec<u8>,
+    /// The memory of the body, until the call is answered.
+    _memory: Option<Charge>,
     /// The request id. A repeated change with the same id gets the same outcome.
     pub request_id: Option<String>,
     /// The name of the caller in the change log; by default its IP address.
@@ -40,18 +44,34 @@
 pub(super) struct Api {
     pub(super) member: Rc<ClusterMember>,
     peer: SocketAddr,
+    connection: Rc<ApiConnection>,
 }
 
 impl Api {
-    pub(super) fn new(member: Rc<ClusterMember>, peer: SocketAddr) -> Self {
-        Api { member, peer }
+    pub(super) fn new(
+        member: Rc<ClusterMember>,
+        peer: SocketAddr,
+        connection: Rc<ApiConnection>,
+    ) -> Self {
+        Api {
+            member,
+            peer,
+            connection,
+        }
     }
 
     /// Answers a call, and logs it unless it only reads.
     pub(super) async fn answer(&self, request: Request<Incoming>) -> ReplyResult {
         let (method, path) = (request.method().clone(), request.uri().path().to_owned());
         let call = self.read_call(request).await?;
+        self.connection.slot.record_request();
+        self.connection.set_state(ConnectionState::Busy);
         let reply = self.dispatch(&method, &path, &call).await;
+        self.connection.set_state(ConnectionState::Idle);
+        let reply = reply.and_then(|reply| {
+            self.connection.charge_answer(&reply)?;
+            Ok(reply)
+        });
         if method != Method::GET {
             let result = match &reply {
                 Ok(reply) => reply.status().as_u16().to_string(),
@@ -76,19 +96,34 @@
         let operator = header("operator").unwrap_or_else(|| self.peer.ip().to_string());
         let timeout = query.timeout()?;
         let body = if request.method() == Method::GET {
-            Vec::new()
+            None
         } else {
-            read_body(request).await?
+            Some(self.read_body(request).await?)
         };
+        let (body, memory) =
+            body.map_or_else(Default::default, |body| (body.bytes, Some(body.memory)));
         Ok(ApiCall {
             query,
             body,
+            _memory: memory,
             request_id,
             operator,
             timeout,
         })
     }
 
+    async fn read_body(&self, request: Request<Incoming>) -> Result<CallBody, HttpError> {
+        let read = self
+            .connection
+            .read_body(request.into_body(), MAX_BODY_BYTES);
+        let timed_out = async {
+            Timer::after(BODY_TIMEOUT).await;
+            let detail = "the body was not whole in time";
+            Err(HttpError::new(StatusCode::REQUEST_TIMEOUT, "request-timeout", detail).closing())
+        };
+        read.or(timed_out).await
+    }
+
     async fn dispatch(&self, method: &Method, path: &str, call: &ApiCall) -> ReplyResult {
         match (method.as_str(), path) {
             ("GET", "/v1/state") => self.read_state(call).await,
@@ -161,20 +196,3 @@
         detail,
     ))
 }
-
-async fn read_body(request: Request<Incoming>) -> Result<Vec<u8>, HttpError> {
-    let read = async {
-        let body = Limited::new(request.into_body(), MAX_BODY_BYTES);
-        let body = body.collect().await.map_err(|error| {
-            let detail = format!("the body can't be read: {error}");
-            HttpError::new(StatusCode::BAD_REQUEST, "invalid-request", detail).closing()
-        })?;
-        Ok(body.to_bytes().to_vec())
-    };
-    let timed_out = async {
-        Timer::after(BODY_TIMEOUT).await;
-        let detail = "the body was not whole in time";
-        Err(HttpError::new(StatusCode::REQUEST_TIMEOUT, "request-timeout", detail).closing())
-    };
-    read.or(timed_out).await
-}
--- a/gateway/src/replication/mod.rs
+++ b/gateway/src/replication/mod.rs
@@ -16,7 +16,7 @@
 pub mod shared_config;
 mod subscriber;
 
-pub use api::{listen, MembershipStep};
+pub use api::{ApiServer, MembershipStep};
 pub use error::{ClusterStartError, CommitError};
 pub use member::new_request_id;
 pub use participant::Participant;
--- a/gateway/src/serve/mod.rs
+++ b/gateway/src/serve/mod.rs
@@ -23,7 +23,7 @@
 use crate::config::Config;
 use crate::cordon_file::CordonFile;
 use crate::log;
-use crate::replication::{self, Participant};
+use crate::replication::{ApiServer, Participant};
 use crate::settings::Settings;
 use crate::sibling_process::ProcessMark;
 use assembly::GatewayParts;
@@ -171,8 +171,9 @@
     participant.attach(&gateway.executor, gateway.control_targets());
     if let (Participant::Member(member), Some(listener)) = (participant, api_listener) {
         let executor = Rc::clone(&gateway.executor);
-        let api = replication::listen(Rc::clone(member), executor, listener);
-        gateway.executor.spawn(api).detach();
+        let memory = gateway.memory.clone();
+        let api = ApiServer::new(Rc::clone(member), executor, gateway.clock, memory);
+        gateway.executor.spawn(api.listen(listener)).detach();
     }
 }
 
--- a/gateway/tests/cluster/main.rs
+++ b/gateway/tests/cluster/main.rs
@@ -11,6 +11,7 @@
 
 mod engine_list;
 mod membership;
+mod memory;
 mod operations;
 mod restart;
 mod settings;
--- a/gateway/tests/support/mod.rs
+++ b/gateway/tests/support/mod.rs
@@ -345,6 +345,11 @@
         self.0.stream.get_mut().write_all(bytes).unwrap();
     }
 
+    /// Sends bytes that the gateway may not take.
+    pub fn try_send_raw(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.0.stream.get_mut().write_all(bytes)
+    }
+
     pub fn send(&mut self, method: &str, path: &str, headers: &[(&str, &str)], body: &[u8]) {
         self.0.send(method, path, headers, body).unwrap();
     }
