Charge frames between replicas to the memory limit

Cause: both were bounded for each connection or queue only. Change: the input of incoming connections and the queues to other replicas are charged to the purpose control of the process's memory budget. A connection whose frame does not fit ends with out_of_memory; the sender connects and sends again. A frame that does not fit into a queue is dropped as one for a full queue is. The first 16 KiB of each are not charged, so that votes and heartbeats go on.

--- a/cluster/replica-runtime/src/close_reason.rs
+++ b/cluster/replica-runtime/src/close_reason.rs
@@ -27,6 +27,9 @@
     /// The content of a frame can't be decoded as a message of this protocol.
     #[error("malformed_frame")]
     MalformedFrame,
+    /// A frame does not fit into the memory budget.
+    #[error("out_of_memory")]
+    OutOfMemory,
     /// A message did not fit into the send queue.
     #[error("queue_full")]
     QueueFull,
--- a/cluster/replica-runtime/src/framing.rs
+++ b/cluster/replica-runtime/src/framing.rs
@@ -9,6 +9,7 @@
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
 use serde::de::DeserializeOwned;
+use violetgate_memory_budget::{Charge, MemoryBudget, Purpose};
 
 use crate::close_reason::CloseReason;
 use crate::wire::{self, Decoded};
@@ -69,9 +70,19 @@
     bytes: Vec<u8>,
     /// The offset of the next frame in `bytes`.
     start: usize,
+    /// The memory of `bytes`. `None` where frames are short.
+    memory: Option<Charge>,
 }
 
 impl FrameReader {
+    /// Creates a reader whose input is charged to `memory`.
+    pub(crate) fn charged(memory: &MemoryBudget) -> Self {
+        FrameReader {
+            memory: Some(memory.empty_charge(Purpose::Control)),
+            ..FrameReader::default()
+        }
+    }
+
     /// Returns the bytes that were read and not decoded yet.
     pub(crate) fn buffered(&self) -> &[u8] {
         self.bytes.get(self.start..).unwrap_or_default()
@@ -92,12 +103,14 @@
             self.start = 0;
             self.bytes.clear();
             self.bytes.shrink_to(IDLE_BUFFER_BYTES);
+            self.reduce_charge();
         }
         Ok(Some(decoded))
     }
 
     /// Waits for input and appends up to [`READ_BYTES`] to the buffer.
     pub(crate) async fn read_more(&mut self, stream: &Async<TcpStream>) -> Result<(), CloseReason> {
+        self.charge_next_read()?;
         let bytes = &mut self.bytes;
         let read = stream.read_with(|mut stream| {
             READ_BUFFER.with(|buffer| {
@@ -114,6 +127,29 @@
         }
     }
 
+    /// Charges the capacity that the buffer may have after the next read.
+    fn charge_next_read(&self) -> Result<(), CloseReason> {
+        let (needed, capacity) = (self.bytes.len() + READ_BYTES, self.bytes.capacity());
+        let next_capacity = if needed > capacity {
+            needed.max(capacity * 2)
+        } else {
+            capacity
+        };
+        // What a read of a small frame needs is not charged.
+        let charged = next_capacity.saturating_sub(READ_BYTES);
+        let memory = self.memory.as_ref();
+        let charge = memory.map_or(Ok(()), |memory| memory.resize(charged));
+        charge.map_err(|_| CloseReason::OutOfMemory)
+    }
+
+    fn reduce_charge(&self) {
+        if let Some(memory) = &self.memory {
+            // A smaller charge always fits.
+            let charged = self.bytes.capacity().saturating_sub(READ_BYTES);
+            let _ = memory.resize(charged);
+        }
+    }
+
     /// Reads until the next message is complete, and returns it.
     pub(crate) async fn read_message<T: DeserializeOwned>(
         &mut self,
--- a/cluster/replica-runtime/src/lib.rs
+++ b/cluster/replica-runtime/src/lib.rs
@@ -17,6 +17,7 @@
 //! use std::time::Duration;
 //!
 //! use async_executor::LocalExecutor;
+//! use violetgate_memory_budget::MemoryBudget;
 //! use violetgate_replica::ReplicaConfig;
 //! use violetgate_replica_runtime::{Bootstrap, ReplicaOptions, ReplicaRuntime};
 //! use violetgate_test_harness::reserve_tcp_address;
@@ -35,6 +36,7 @@
 //!     members: BTreeMap::from([(1, listen)]),
 //!     config: ReplicaConfig::default(),
 //!     seed: 7,
+//!     memory: MemoryBudget::new(64 << 20),
 //! };
 //! let executor = Rc::new(LocalExecutor::new());
 //! let replica = ReplicaRuntime::start(&executor, &options)?;
--- a/cluster/replica-runtime/src/runtime/startup.rs
+++ b/cluster/replica-runtime/src/runtime/startup.rs
@@ -10,6 +10,7 @@
 use async_channel::Receiver;
 use async_executor::LocalExecutor;
 use async_io::Async;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_raft::NodeId;
 use violetgate_raft_storage::{
     FsDirectory, OwnershipError, RaftStorage, RecoveredState, StorageError,
@@ -38,6 +39,8 @@
     pub config: ReplicaConfig,
     /// A seed of the core's random numbers, in addition to those of the operating system.
     pub seed: u64,
+    /// The limit of the memory for messages of other replicas that arrive or are queued.
+    pub memory: MemoryBudget,
 }
 
 /// The reason why a replica can't start.
@@ -184,7 +187,8 @@
     };
     let ReplicaOptions {
         id, config, seed, ..
-    } = *options;
+    } = options;
+    let (id, config, seed) = (*id, *config, *seed);
     Replica::new(id, config, seed ^ process_number, initial, boot_time())
 }
 
@@ -206,6 +210,7 @@
         options.id,
         disk_id,
         options.listen,
+        options.memory.clone(),
         on_message,
     )
 }
--- a/cluster/replica-runtime/src/transport.rs
+++ b/cluster/replica-runtime/src/transport.rs
@@ -18,6 +18,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::future;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_raft::NodeId;
 
 use crate::traffic_stats::{TrafficCounter, TrafficStats};
@@ -63,13 +64,16 @@
     dropped_messages: Cell<u64>,
     /// Replicas that messages were dropped for because their addresses are not known.
     unaddressed: RefCell<BTreeSet<NodeId>>,
+    /// The limit of the memory for frames that arrive or are queued.
+    memory: MemoryBudget,
     counter: TrafficCounter,
     /// Replicas with which no messages are exchanged, set by tests of network partitions.
     blocked: RefCell<Vec<NodeId>>,
 }
 
 impl Transport {
-    /// Creates the transport of a replica that listens at `listen`, without any peers.
+    /// Creates the transport of a replica that listens at `listen`, without any peers. Frames are
+    /// charged to `memory`.
     #[must_use]
     pub fn new(
         executor: Rc<LocalExecutor<'static>>,
@@ -77,6 +81,7 @@
         id: NodeId,
         disk_id: u64,
         listen: SocketAddr,
+        memory: MemoryBudget,
         on_message: MessageHandler,
     ) -> Rc<Self> {
         Rc::new_cyclic(|weak_self| Transport {
@@ -95,6 +100,7 @@
             next_incoming: Cell::new(0),
             dropped_messages: Cell::new(0),
             unaddressed: RefCell::default(),
+            memory,
             counter: TrafficCounter::default(),
             blocked: RefCell::default(),
         })
@@ -147,7 +153,7 @@
     }
 
     fn connect_to(&self, id: NodeId, address: SocketAddr) -> Peer {
-        let queue = Rc::new(PeerQueue::default());
+        let queue = Rc::new(PeerQueue::new(&self.memory));
         let transport = self.weak_self.clone();
         let connection = outgoing::keep_connected(transport, id, address, Rc::clone(&queue));
         Peer {
@@ -207,12 +213,16 @@
             return self.drop_unaddressed(to);
         };
         match wire::encode_frame(message) {
-            Ok(frame) if peer.queue.has_room_for(&frame) => {
-                self.counter.count_sent(frame.len());
-                peer.queue.push(frame);
+            Ok(frame) => {
+                let frame_bytes = frame.len();
+                if peer.queue.push(frame) {
+                    self.counter.count_sent(frame_bytes);
+                } else {
+                    self.count_dropped();
+                }
             }
-            // The queue is full, or the message exceeds the maximum frame length.
-            _ => self.count_dropped(),
+            // The message exceeds the maximum frame length.
+            Err(_) => self.count_dropped(),
         }
     }
 
--- a/cluster/replica-runtime/src/transport/incoming.rs
+++ b/cluster/replica-runtime/src/transport/incoming.rs
@@ -28,7 +28,7 @@
     connection: u64,
 ) -> Result<std::convert::Infallible, PeerConnectionEnd> {
     disable_nagle(stream);
-    let mut reader = FrameReader::default();
+    let mut reader = FrameReader::charged(&upgrade(weak)?.memory);
     let hello: Hello = reader.read_hello(stream).await?;
     answer_hello(weak, stream, &hello).await?;
     if let Some(address) = hello.listen {
--- a/cluster/replica-runtime/src/transport/outgoing.rs
+++ b/cluster/replica-runtime/src/transport/outgoing.rs
@@ -12,6 +12,7 @@
 
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
+use violetgate_memory_budget::{BudgetExhausted, Charge, MemoryBudget, Purpose};
 use violetgate_raft::NodeId;
 
 use super::{PeerConnectionEnd, Transport};
@@ -25,34 +26,60 @@
 
 /// The maximum number of bytes queued for one replica.
 const MAX_QUEUED_BYTES: usize = 32 << 20;
+/// The number of bytes of a queue that are not charged to the memory budget.
+const UNCHARGED_BYTES: usize = 16 << 10;
 
 /// The queue of frames for one replica.
 ///
 /// Unlike a [`SendQueue`](crate::send_queue::SendQueue), it outlives its connections: it never
 /// ends, is emptied between two connections, and counts a frame only until its write begins.
-#[derive(Default)]
 pub(super) struct PeerQueue {
     frames: RefCell<VecDeque<Vec<u8>>>,
     bytes: Cell<usize>,
+    /// The memory of the frames. A small queue is not charged, so that heartbeats and votes are
+    /// sent while memory is short.
+    memory: Charge,
     waker: RefCell<Option<Waker>>,
 }
 
 impl PeerQueue {
-    pub fn has_room_for(&self, frame: &[u8]) -> bool {
-        self.bytes.get() + frame.len() <= MAX_QUEUED_BYTES
+    pub fn new(memory: &MemoryBudget) -> Self {
+        PeerQueue {
+            frames: RefCell::default(),
+            bytes: Cell::new(0),
+            memory: memory.empty_charge(Purpose::Control),
+            waker: RefCell::default(),
+        }
     }
 
-    pub fn push(&self, frame: Vec<u8>) {
-        self.bytes.set(self.bytes.get() + frame.len());
+    /// Appends a frame. Returns false, and drops the frame, if the queue or the memory budget is
+    /// full.
+    pub fn push(&self, frame: Vec<u8>) -> bool {
+        let bytes = self.bytes.get() + frame.len();
+        if bytes > MAX_QUEUED_BYTES || self.charge(bytes).is_err() {
+            return false;
+        }
+        self.bytes.set(bytes);
         self.frames.borrow_mut().push_back(frame);
         if let Some(waker) = self.waker.borrow_mut().take() {
             waker.wake();
         }
+        true
+    }
+
+    fn charge(&self, bytes: usize) -> Result<(), BudgetExhausted> {
+        self.memory.resize(bytes.saturating_sub(UNCHARGED_BYTES))
     }
 
     fn clear(&self) {
         self.frames.borrow_mut().clear();
-        self.bytes.set(0);
+        self.set_smaller_size(0);
+    }
+
+    fn set_smaller_size(&self, bytes: usize) {
+        self.bytes.set(bytes);
+        // A smaller charge always fits.
+        let _ = self.charge(bytes);
     }
 
     async fn next(&self) -> Vec<u8> {
@@ -61,7 +88,7 @@
                 *self.waker.borrow_mut() = Some(context.waker().clone());
                 return Poll::Pending;
             };
-            self.bytes.set(self.bytes.get() - frame.len());
+            self.set_smaller_size(self.bytes.get() - frame.len());
             Poll::Ready(frame)
         })
         .await
--- a/cluster/replica-runtime/tests/fleet/mod.rs
+++ b/cluster/replica-runtime/tests/fleet/mod.rs
@@ -9,6 +9,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_raft::{MembershipChange, NodeId};
 use violetgate_replica::{ReplicaConfig, Response};
 use violetgate_replica_runtime::{
@@ -23,6 +24,8 @@
 /// How often a condition is checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(2);
 const CLUSTER: &str = "test";
+/// The memory budget of a member, in bytes: more than it needs.
+const MEMORY_BYTES: usize = 256 << 20;
 
 /// A cluster with its observers and gateways.
 pub struct Fleet {
@@ -102,6 +105,7 @@
                 ..ReplicaConfig::default()
             },
             seed: 7 + id,
+            memory: MemoryBudget::new(MEMORY_BYTES),
         };
         self.members
             .insert(id, ReplicaRuntime::start(&self.executor, &options).unwrap());
--- a/cluster/replica-runtime/tests/replica_group/mod.rs
+++ b/cluster/replica-runtime/tests/replica_group/mod.rs
@@ -9,6 +9,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_raft::{NodeId, Role};
 use violetgate_replica::{ReplicaConfig, Response};
 use violetgate_replica_runtime::{Bootstrap, CallOutcome, ReplicaOptions, ReplicaRuntime};
@@ -39,8 +40,13 @@
     /// The replicas that a replica's own settings name. Without an entry they name all.
     pub named: BTreeMap<NodeId, Vec<NodeId>>,
     pub members: BTreeMap<NodeId, Rc<ReplicaRuntime>>,
+    /// The memory budget that all replicas of the group share.
+    pub memory: MemoryBudget,
 }
 
+/// The memory budget of a group, in bytes: more than most tests need.
+const MEMORY_BYTES: usize = 256 << 20;
+
 impl Drop for ReplicaGroup {
     fn drop(&mut self) {
         let _ = std::fs::remove_dir_all(&self.folder);
@@ -59,9 +65,14 @@
             addresses,
             named: BTreeMap::new(),
             members: BTreeMap::new(),
+            memory: MemoryBudget::new(MEMORY_BYTES),
         }
     }
 
+    pub fn address(&self, id: NodeId) -> SocketAddr {
+        self.addresses[&id]
+    }
+
     /// Gives a replica another address, from its next start on.
     pub fn move_replica(&mut self, id: NodeId) {
         self.addresses.insert(id, reserve_tcp_address().unwrap());
@@ -87,6 +98,7 @@
                 ..ReplicaConfig::default()
             },
             seed: 7 + id,
+            memory: self.memory.clone(),
         }
     }
 
--- a/gateway/src/replication/member.rs
+++ b/gateway/src/replication/member.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use async_executor::LocalExecutor;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_raft::{Config, NodeId};
 use violetgate_replica::{ReplicaConfig, Response};
 use violetgate_replica_runtime::{
@@ -72,7 +73,11 @@
     format!("r-{:032x}", u128::from_be_bytes(bytes))
 }
 
-fn replica_options(settings: &settings::Cluster, seed: u64) -> ReplicaOptions {
+fn replica_options(
+    settings: &settings::Cluster,
+    seed: u64,
+    memory: MemoryBudget,
+) -> ReplicaOptions {
     let raft = Config {
         election_timeout: micros(settings.election_timeout.0),
         heartbeat_interval: micros(settings.heartbeat.0),
@@ -92,6 +97,7 @@
         members: settings.addresses(),
         config,
         seed,
+        memory,
     }
 }
 
@@ -130,8 +136,9 @@
         own_settings: &Settings,
         settings: &settings::Cluster,
         seed: u64,
+        memory: MemoryBudget,
     ) -> Result<Rc<Self>, ClusterStartError> {
-        let runtime = ReplicaRuntime::start(executor, &replica_options(settings, seed))
+        let runtime = ReplicaRuntime::start(executor, &replica_options(settings, seed, memory))
             .map_err(ClusterStartError::of_member)?;
         let observer = start_observer(&runtime, settings)?;
         let instance = settings.id.to_string();
--- a/gateway/src/replication/participant.rs
+++ b/gateway/src/replication/participant.rs
@@ -12,6 +12,7 @@
 use crate::discovery::ListRetention;
 use crate::fence::Fence;
 use crate::settings::{self, ClusterRole, Settings};
+use violetgate_memory_budget::MemoryBudget;
 
 /// This instance's role in a cluster.
 #[derive(Clone)]
@@ -35,10 +36,11 @@
         own_settings: &Settings,
         settings: &settings::Cluster,
         seed: u64,
+        memory: MemoryBudget,
     ) -> Result<Self, ClusterStartError> {
         Ok(match settings.role {
             ClusterRole::Member => {
-                let member = ClusterMember::start(executor, own_settings, settings, seed)?;
+                let member = ClusterMember::start(executor, own_settings, settings, seed, memory)?;
                 Participant::Member(member)
             }
             ClusterRole::Subscriber => {
--- a/gateway/src/serve/assembly.rs
+++ b/gateway/src/serve/assembly.rs
@@ -160,7 +160,7 @@
     ) -> Result<Self, StartError> {
         let class_names = config.names.classes.iter();
         let stats = Rc::new(Stats::new(class_names.map(|class| class.name.as_str())));
-        let participant = join_cluster(executor, settings, process_seed)?;
+        let participant = join_cluster(executor, settings, process_seed, memory.clone())?;
         let fence = participant.as_ref().map(Participant::fence);
         let pool = Pool::new(
             Rc::clone(executor),
@@ -196,11 +196,12 @@
     executor: &Rc<LocalExecutor<'static>>,
     settings: &Settings,
     seed: u64,
+    memory: MemoryBudget,
 ) -> Result<Option<Participant>, StartError> {
     let Some(cluster) = &settings.cluster else {
         return Ok(None);
     };
-    let participant = Participant::start(executor, settings, cluster, seed)?;
+    let participant = Participant::start(executor, settings, cluster, seed, memory)?;
     Ok(Some(participant))
 }
 
--- a/tools/acceptance/src/in_process.rs
+++ b/tools/acceptance/src/in_process.rs
@@ -8,6 +8,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_raft::{Entry, HardState, NodeId, Payload, StorageWrite};
 use violetgate_raft_storage::{FsDirectory, RaftStorage};
 use violetgate_replica::ReplicaConfig;
@@ -19,6 +20,8 @@
 
 const CLUSTER: &str = "inside";
 const MEMBER: NodeId = 1;
+/// The memory budget of the member, in bytes: more than it needs.
+const MEMORY_BYTES: usize = 256 << 20;
 /// The number of distinct keys in the recovered state.
 const KEYS: u64 = 100_000;
 /// The number of entries in each write to the log.
@@ -79,6 +82,7 @@
                 ..ReplicaConfig::default()
             },
             seed: 7,
+            memory: MemoryBudget::new(MEMORY_BYTES),
         };
         ReplicaRuntime::start(executor, &options).map_err(replica_error)
     }
--- a/tools/scale/src/replicated_state/members.rs
+++ b/tools/scale/src/replicated_state/members.rs
@@ -12,6 +12,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
+use violetgate_memory_budget::MemoryBudget;
 use violetgate_raft::NodeId;
 use violetgate_replica::ReplicaConfig;
 use violetgate_replica_runtime::{Bootstrap, ReplicaOptions, ReplicaRuntime};
@@ -28,6 +29,8 @@
 /// How often the thread of the other members updates its progress.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(10);
 const CLUSTER: &str = "scale";
+/// The memory budget of a member, in bytes: more than it needs.
+const MEMORY_BYTES: usize = 256 << 20;
 
 /// A revision that a member has applied, and when.
 struct AppliedRevision {
@@ -105,6 +108,7 @@
         members: addresses.clone(),
         config: ReplicaConfig::default(),
         seed: folders.seed.wrapping_add(id),
+        memory: MemoryBudget::new(MEMORY_BYTES),
     };
     let member =
         ReplicaRuntime::start(executor, &options).map_err(|error| failed(error.to_string()))?;
