Bound the replicas without an address that a member remembers

Cause: the transport remembers such ids for good, so as to log each once, and whoever connects chooses the id that is answered. Change: at most 64 are remembered; more are dropped without a line of their own, and are counted as before.

--- a/cluster/replica-runtime/src/transport.rs
+++ b/cluster/replica-runtime/src/transport.rs
@@ -30,6 +30,9 @@
 const MAX_INCOMING: usize = 64;
 /// The delay after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// The maximum number of replicas without a known address that are remembered, so that each is
+/// logged once.
+const MAX_UNADDRESSED: usize = 64;
 
 /// A callback that receives each message and the id of the replica that sent it.
 pub type MessageHandler = Box<dyn Fn(NodeId, PeerMessage)>;
@@ -233,7 +236,8 @@
     /// Drops a message to a replica without a known address. Only the first one is logged.
     fn drop_unaddressed(&self, to: NodeId) {
         self.count_dropped();
-        if self.unaddressed.borrow_mut().insert(to) {
+        let mut unaddressed = self.unaddressed.borrow_mut();
+        if unaddressed.len() < MAX_UNADDRESSED && unaddressed.insert(to) {
             tracing::info!(
                 "member {to} has no known address, so it gets no messages: \
                  name it under `members` in the settings of member {}",
@@ -300,3 +304,6 @@
     #[error("refused: member {0} had another disk")]
     OtherDisk(NodeId),
 }
+
+#[cfg(test)]
+mod tests;
