Prove the memory limit under crowds and during an upgrade on the release build

Need: the crowds of gateway/tests/memory_limit run against the debug build, which needs 12 MB at rest; two such processes can't show whether an upgrade stays within 32 MB, whose limits its two processes share. The crowd moves to tools/test-harness.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Everyday tasks. `make run` needs PROXY_CONFIG, see README.md.
-.PHONY: build test lint run ci prove-rest prove-daemon prove-run prove-membership prove-fleet prove-fleet-rules prove-scale gate
+.PHONY: build test lint run ci prove-rest prove-limits prove-daemon prove-run prove-membership prove-fleet prove-fleet-rules prove-scale gate
 
 # Proofs measure for a while and hold the program to bounds; arguments by ARGS="--requests 100000".
 ARGS ?=
@@ -12,6 +12,11 @@
 	cargo build --locked --release --workspace
 	target/release/prove-run $(ARGS)
 
+# Crowds of clients against the memory limit; ARGS="--short".
+prove-limits:
+	cargo build --locked --release --workspace
+	target/release/prove-limits $(ARGS)
+
 # ARGS="--seconds 600" is the long form.
 prove-daemon:
 	cargo build --locked --release --workspace
--- a/gateway/tests/memory_limit/engines.rs
+++ b/gateway/tests/memory_limit/engines.rs
@@ -1,9 +1,9 @@
 //! Engines whose answers the gateway has to hold.
 
 use violetgate_fake_upstreams::Fault;
+use violetgate_test_harness::crowd::requests::{large_result, session, slow_large_lookup};
+use violetgate_test_harness::crowd::Behaviour;
 
-use super::crowd::Behaviour;
-use super::statements::{large_result, session, slow_large_lookup};
 use super::{withstand, MANY_DESCRIPTORS, MEMORY_MB};
 use crate::support::GatewayProcess;
 
--- a/gateway/tests/memory_limit/floods.rs
+++ b/gateway/tests/memory_limit/floods.rs
@@ -7,7 +7,8 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use super::statements::{query, session};
+use violetgate_test_harness::crowd::requests::{query, session};
+
 use super::{watch_usual_client, MANY_DESCRIPTORS, MEMORY_MB};
 use crate::support::GatewayProcess;
 
--- a/gateway/tests/memory_limit/main.rs
+++ b/gateway/tests/memory_limit/main.rs
@@ -9,20 +9,18 @@
 #[path = "../support/mod.rs"]
 mod support;
 
-mod crowd;
 mod engines;
 mod event_bus;
 mod floods;
 mod postgres_clients;
 mod rest_clients;
-mod statements;
 
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use violetgate_test_harness::crowd::{Behaviour, Crowd};
 use violetgate_test_harness::lock;
 
-use crowd::{Behaviour, Crowd};
 use support::GatewayProcess;
 
 /// The least memory and the numbers of descriptors that a platform configures.
@@ -48,6 +46,7 @@
 /// Lets a crowd act on a gateway with the least memory, and checks that the process stays within its
 /// limit and that a usual client is served.
 fn withstand(gateway: &mut GatewayProcess, addr: &str, behaviour: Behaviour) {
+    let addr = addr.parse().unwrap();
     watch_usual_client(gateway, || Crowd::start(addr, CROWD_SIZE, behaviour));
 }
 
--- a/gateway/tests/memory_limit/postgres_clients.rs
+++ b/gateway/tests/memory_limit/postgres_clients.rs
@@ -2,8 +2,11 @@
 
 use std::time::Duration;
 
-use super::crowd::Behaviour;
-use super::statements::{cut, large_lookup, large_result, many_short_fields, session};
+use violetgate_test_harness::crowd::requests::{
+    cut, large_lookup, large_result, many_short_fields, session,
+};
+use violetgate_test_harness::crowd::Behaviour;
+
 use super::{withstand, FEW_DESCRIPTORS, MANY_DESCRIPTORS, MEMORY_MB};
 use crate::support::GatewayProcess;
 
--- a/gateway/tests/memory_limit/rest_clients.rs
+++ b/gateway/tests/memory_limit/rest_clients.rs
@@ -1,7 +1,8 @@
 //! Crowds of REST clients, with as many connections as the settings can allow.
 
-use super::crowd::Behaviour;
-use super::statements::{half_body, many_short_headers};
+use violetgate_test_harness::crowd::requests::{half_body, many_short_headers};
+use violetgate_test_harness::crowd::Behaviour;
+
 use super::{withstand, MANY_DESCRIPTORS, MEMORY_MB};
 use crate::support::GatewayProcess;
 
--- a/tools/acceptance/src/gateway.rs
+++ b/tools/acceptance/src/gateway.rs
@@ -4,10 +4,12 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use serde_json::Value;
 use violetgate_fake_upstreams::client::{HttpClient, PostgresClient};
 use violetgate_fake_upstreams::FakeUpstreams;
 use violetgate_test_harness::{
-    reserve_tcp_addresses, wait_until, LogTarget, ProcessUsage, ServerProcess, SETTINGS_FILE,
+    reserve_tcp_addresses, wait_until, LogTarget, ProcessUsage, ServerProcess, Signal,
+    SETTINGS_FILE,
 };
 
 use crate::{AcceptanceError, Result};
@@ -17,8 +19,24 @@
 /// How long a gateway may take until it accepts connections.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
 const START_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-/// The `limits.sockets` value of the gateway's configuration.
-const SOCKET_LIMIT: u64 = 4096;
+
+/// The limits that a gateway's configuration states.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConfiguredLimits {
+    /// `limits.sockets`: the maximum number of file descriptors.
+    pub sockets: u64,
+    /// `limits.memory_mb`: the maximum resident memory, in units of 1,000,000 bytes.
+    pub memory_mb: u64,
+}
+
+impl Default for ConfiguredLimits {
+    fn default() -> Self {
+        ConfiguredLimits {
+            sockets: 4096,
+            memory_mb: 192,
+        }
+    }
+}
 
 /// A running gateway process. Dropping it kills the process and removes its folder.
 pub struct Gateway {
@@ -44,9 +62,24 @@
     ///
     /// The process can't be started, or does not accept connections within ten seconds.
     pub fn start(program: &Path, engines: &FakeUpstreams, rest_settings: &str) -> Result<Self> {
+        Self::start_with_limits(program, engines, rest_settings, ConfiguredLimits::default())
+    }
+
+    /// Starts a gateway as [`Gateway::start`] does, with these limits.
+    ///
+    /// # Errors
+    ///
+    /// Fails for the same reasons as [`Gateway::start`].
+    pub fn start_with_limits(
+        program: &Path,
+        engines: &FakeUpstreams,
+        rest_settings: &str,
+        limits: ConfiguredLimits,
+    ) -> Result<Self> {
         let [postgres_addr, rest_addr] = reserve_tcp_addresses()?;
         let folder = std::env::temp_dir().join(format!("violetgate-prove-{}", std::process::id()));
-        write_files(&folder, engines, postgres_addr, rest_addr, rest_settings)?;
+        let config = gateway_config(engines, postgres_addr, limits);
+        write_files(&folder, &config, rest_addr, rest_settings)?;
         let mut process = ServerProcess::new(program, folder, LogTarget::Discard);
         process.start()?;
         let gateway = Gateway {
@@ -61,6 +94,29 @@
         Ok(gateway)
     }
 
+    /// Returns the folder with the files of the gateway.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.process.folder()
+    }
+
+    /// Returns the id of the process; 0 if it has ended.
+    #[must_use]
+    pub fn pid(&self) -> u32 {
+        self.process.pid().unwrap_or(0)
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&self, signal: Signal) {
+        self.process.signal(signal);
+    }
+
+    /// Returns the highest resident memory of the process in bytes, or zero if it has ended.
+    #[must_use]
+    pub fn peak_resident_bytes(&self) -> u64 {
+        self.usage().peak_resident_bytes
+    }
+
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
         self.process.is_running()
@@ -103,20 +159,28 @@
     }
 }
 
-fn write_files(
-    folder: &PathBuf,
+fn gateway_config(
     engines: &FakeUpstreams,
     postgres_addr: SocketAddr,
-    rest_addr: SocketAddr,
-    rest_settings: &str,
-) -> std::io::Result<()> {
-    std::fs::create_dir_all(folder)?;
+    limits: ConfiguredLimits,
+) -> Value {
     let mut config = engines.config(
         "n0",
         &postgres_addr.to_string(),
         &violetgate_fake_upstreams::settings(),
     );
-    config["limits"]["sockets"] = SOCKET_LIMIT.into();
+    config["limits"]["sockets"] = limits.sockets.into();
+    config["limits"]["memory_mb"] = limits.memory_mb.into();
+    config
+}
+
+fn write_files(
+    folder: &PathBuf,
+    config: &Value,
+    rest_addr: SocketAddr,
+    rest_settings: &str,
+) -> std::io::Result<()> {
+    std::fs::create_dir_all(folder)?;
     std::fs::write(folder.join("config.json"), config.to_string())?;
     let settings = format!("rest {{\n  listen = \"{rest_addr}\"\n{rest_settings}\n}}\n");
     std::fs::write(folder.join(SETTINGS_FILE), settings)
--- a/tools/acceptance/src/lib.rs
+++ b/tools/acceptance/src/lib.rs
@@ -14,6 +14,6 @@
 mod verdict;
 
 pub use error::{AcceptanceError, Result};
-pub use gateway::Gateway;
+pub use gateway::{ConfiguredLimits, Gateway};
 pub use load::{open_loop, LoadResult};
 pub use verdict::{exit_code, Verdict};
--- a/gateway/tests/memory_limit/crowd.rs
+++ b/tools/test-harness/src/crowd.rs
@@ -1,5 +1,7 @@
-//! Many clients at a time that make the gateway hold what they have sent. A client that the gateway
-//! closes comes back at once.
+//! Many clients at a time that make a gateway hold what they have sent. A client whose connection the
+//! gateway closes connects again at once.
+
+pub mod requests;
 
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -15,11 +17,14 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 const SMALL_RECEIVE_BUFFER_BYTES: usize = 2 * 1024;
 
+/// Returns the bytes that a client sends, given the number of its connection.
+pub type Sends = Arc<dyn Fn(u64) -> Vec<u8> + Send + Sync>;
+
 /// What the clients of a crowd do.
 #[derive(Clone)]
 pub struct Behaviour {
-    /// The bytes that a client sends, given the number of its connection.
-    pub sends: Arc<dyn Fn(u64) -> Vec<u8> + Send + Sync>,
+    /// What each client sends.
+    pub sends: Sends,
     /// How many bytes of them it writes at a time.
     pub chunk_bytes: usize,
     /// The pause after each chunk.
@@ -30,6 +35,7 @@
 
 impl Behaviour {
     /// Clients that send all their bytes at once and read what they are sent.
+    #[must_use]
     pub fn send_at_once(sends: impl Fn(u64) -> Vec<u8> + Send + Sync + 'static) -> Self {
         Behaviour {
             sends: Arc::new(sends),
@@ -79,8 +85,11 @@
         if self.unsent.is_empty() || Instant::now() < self.next_write {
             return true;
         }
-        let chunk = &self.unsent[..self.unsent.len().min(behaviour.chunk_bytes)];
-        match self.stream.write(chunk) {
+        let end = self.unsent.len().min(behaviour.chunk_bytes);
+        match self
+            .stream
+            .write(self.unsent.get(..end).unwrap_or_default())
+        {
             Ok(size) => {
                 self.unsent.drain(..size);
                 self.next_write = Instant::now() + behaviour.chunk_interval;
@@ -107,8 +116,8 @@
 
 impl Crowd {
     /// Keeps `size` clients connected to an address.
-    pub fn start(addr: &str, size: usize, behaviour: Behaviour) -> Self {
-        let addr: SocketAddr = addr.parse().unwrap();
+    #[must_use]
+    pub fn start(addr: SocketAddr, size: usize, behaviour: Behaviour) -> Self {
         let is_over = Arc::new(AtomicBool::new(false));
         let ending = Arc::clone(&is_over);
         let thread = std::thread::spawn(move || run(addr, size, &behaviour, &ending));
--- a/gateway/tests/memory_limit/statements.rs
+++ b/tools/test-harness/src/crowd/requests.rs
@@ -1,4 +1,4 @@
-//! Bytes that the clients of a crowd send.
+//! What the clients of a crowd send.
 
 /// The startup message: protocol 3.0, user `app`, database `analytics`.
 const STARTUP: &[u8] = b"\0\0\0\x25\0\x03\0\0user\0app\0database\0analytics\0\0";
@@ -6,6 +6,7 @@
 pub const MAX_MESSAGE_BYTES: usize = 64 * 1024;
 
 /// A start-up message, followed by the given messages.
+#[must_use]
 pub fn session(messages: &[Vec<u8>]) -> Vec<u8> {
     let mut bytes = STARTUP.to_vec();
     messages.iter().for_each(|message| bytes.extend(message));
@@ -13,8 +14,9 @@
 }
 
 /// A Query message.
+#[must_use]
 pub fn query(sql: &str) -> Vec<u8> {
-    let length = u32::try_from(sql.len() + 5).unwrap();
+    let length = u32::try_from(sql.len() + 5).unwrap_or(u32::MAX);
     let mut bytes = vec![b'Q'];
     bytes.extend(length.to_be_bytes());
     bytes.extend(sql.as_bytes());
@@ -23,11 +25,13 @@
 }
 
 /// A lookup whose message has the largest size. `id` has to be unique.
+#[must_use]
 pub fn large_lookup(id: u64) -> Vec<u8> {
     large_statement(id, "SELECT 1")
 }
 
 /// A lookup whose message has the largest size, and which takes a while.
+#[must_use]
 pub fn slow_large_lookup(id: u64) -> Vec<u8> {
     large_statement(id, "SELECT 'ms=300'")
 }
@@ -41,6 +45,7 @@
 }
 
 /// A lookup that begins with very many short fields that mean nothing.
+#[must_use]
 pub fn many_short_fields(id: u64) -> Vec<u8> {
     let mut fields = format!("/* method=lookup,rid={id:016x},budget=1500");
     let mut number = 0;
@@ -52,6 +57,7 @@
 }
 
 /// A lookup whose result has the largest size.
+#[must_use]
 pub fn large_result(id: u64) -> Vec<u8> {
     query(&format!(
         "/* method=lookup,rid={id:016x},budget=9000 */ SELECT 'rows=900 width=50' FROM sales_3.plan"
@@ -59,6 +65,7 @@
 }
 
 /// The head of a query over HTTP with very many short fields, which has no end.
+#[must_use]
 pub fn many_short_headers(bytes: usize) -> Vec<u8> {
     let mut head = String::from("POST /v1/queries HTTP/1.1\r\nhost: a\r\n");
     let mut number = 0;
@@ -70,6 +77,7 @@
 }
 
 /// A query over HTTP with a large body, of which only a part is sent.
+#[must_use]
 pub fn half_body(id: u64, bytes: usize) -> Vec<u8> {
     let head = format!(
         "POST /v1/queries HTTP/1.1\r\nhost: a\r\ncontent-length: {}\r\n\r\n",
@@ -81,6 +89,7 @@
 }
 
 /// The first part of a message, up to `bytes`.
+#[must_use]
 pub fn cut(mut message: Vec<u8>, bytes: usize) -> Vec<u8> {
     message.truncate(bytes);
     message
--- a/tools/test-harness/src/lib.rs
+++ b/tools/test-harness/src/lib.rs
@@ -1,10 +1,11 @@
 //! Helpers that run gateway processes, shared by the gateway's tests, the acceptance tests, the
-//! scale tests and the fleet harness: start and stop, free addresses, waiting, metrics and resource
-//! usage.
+//! scale tests and the fleet harness: start and stop, free addresses, waiting, metrics, resource usage
+//! and crowds of clients.
 //!
 //! The helpers observe a process from outside. They need Linux with `/proc` mounted.
 
 mod addresses;
+pub mod crowd;
 mod metrics;
 mod process;
 mod usage;
